--- a/laurelcart/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""laurelcart: the decisions of a host-side scheduler for a shared disk pool."""
--- a/laurelcart/policy.py
+++ b/ochrespan/policy.py
@@ -1,4 +1,4 @@
-"""All decisions of a head. Types, events, actions and settings: see `laurelcart/interface.py`.
+"""All decisions of a head. Types, events, actions and settings: see `ochrespan/interface.py`.
 
 A request joins its flow (volume x class); LexAS promotes it into the scheduler queue by the smallest eta; ARR
 sends it to a node with room by the smallest (a+1)/delta. `_send` is the one exit, `_blocked` its guards.
--- a/laurelcart/adapter.py
+++ b/ochrespan/simhost.py
@@ -1,6 +1,6 @@
 """The bench's wire to the interface and back; hosts many instances. Makes no decision.
 
-Run as `python -m laurelcart.adapter`: batches come on standard input, replies go to standard output.
+Run as `python -m ochrespan.simhost`: batches come on standard input, replies go to standard output.
 """
 
 from __future__ import annotations
@@ -268,7 +268,7 @@
         self.listing_due = 0  # entries still to come
 
     def complain(self, line: str, why: object) -> None:
-        print(f"laurelcart: malformed line skipped: {why}: {line[:200]}", file=self.err, flush=True)
+        print(f"ochrespan: malformed line skipped: {why}: {line[:200]}", file=self.err, flush=True)
 
     def feed(self, line: str) -> None:
         """One line of input; a reply is written at the end of a batch."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from laurelcart import interface as api
-from laurelcart.policy import Scheduler
+from ochrespan import interface as api
+from ochrespan.policy import Scheduler
 
 READ = api.RequestClass("read", aim=0.5, deadline=4.0, worth=2.0, effect=api.Effect.SAFE)
 SAVE = api.RequestClass("save", aim=0.6, deadline=4.0, worth=2.0, effect=api.Effect.SAFE, in_order=True)
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -3,8 +3,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from laurelcart import interface as api
-from laurelcart.interface import Effect, Group, ListKind, NodeList, NodeState, Status
+from ochrespan import interface as api
+from ochrespan.interface import Effect, Group, ListKind, NodeList, NodeState, Status
 
 from .helpers import Head, entry
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,7 +1,7 @@
 """Each rule, with a test that fails when its guard is taken out."""
 
-from laurelcart import interface as api
-from laurelcart.interface import ListKind, NodeList, NodeState, Status
+from ochrespan import interface as api
+from ochrespan.interface import ListKind, NodeList, NodeState, Status
 
 from .helpers import Head, entry
 
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -3,9 +3,9 @@
 import random
 import sys
 
-from laurelcart import interface as api
-from laurelcart.interface import ListKind, NodeList, Status
-from laurelcart.policy import Scheduler
+from ochrespan import interface as api
+from ochrespan.interface import ListKind, NodeList, Status
+from ochrespan.policy import Scheduler
 
 from .helpers import entry, settings
 
