--- /dev/null
+++ b/ochrespan/net/chunks.py
@@ -0,0 +1,168 @@
+"""One exchange with a chunk server, and what came of it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from contextvars import ContextVar
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from yarl import URL
+
+from ..broker import Attempt, Outcome, Status
+from ..settings import Links
+from .discovery import Directory
+
+log = logging.getLogger(__name__)
+
+LOAD = {"inflight", "queue", "util", "latency_ms", "qps", "eps"}
+IDLE_PART = 0.6  # of the time after which chunk servers close idle connections: ours go well before
+
+
+@dataclass(slots=True)
+class Progress:
+    """How far the request of this exchange got."""
+
+    protocol: ResponseHandler | None = None
+
+    @property
+    def written(self) -> bool:
+        """Whether the last byte left; what the kernel would not take keeps the protocol's writing paused."""
+        return self.protocol is not None and not self.protocol.writing_paused
+
+
+PROGRESS: ContextVar[Progress] = ContextVar("progress")
+
+
+class TrackedRequest(aiohttp.ClientRequest):
+    async def send(self, conn):  # type: ignore[no-untyped-def]
+        if conn.transport is not None:
+            conn.transport.set_write_buffer_limits(0)
+        PROGRESS.get(Progress()).protocol = conn.protocol
+        return await super().send(conn)
+
+
+def open_session(links: Links, sockets: int) -> aiohttp.ClientSession:
+    """A session that sends each request once, as it is, and hands back what comes as it is."""
+    connector = aiohttp.TCPConnector(
+        limit=sockets,
+        limit_per_host=0,
+        keepalive_timeout=links.idle.total_seconds() * IDLE_PART,
+        use_dns_cache=False,
+    )
+    session = aiohttp.ClientSession(
+        connector=connector,
+        request_class=TrackedRequest,
+        auto_decompress=False,
+        trust_env=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=links.connect_timeout.total_seconds()),
+    )
+    # aiohttp would send a GET or PUT again by itself when a kept connection drops: a second copy. It has no
+    # public switch for that; tests/test_chunks.py fails if this one stops working.
+    session._retry_connection = False
+    return session
+
+
+@dataclass(slots=True)
+class Message:
+    """What goes to a chunk server, whichever attempt carries it."""
+
+    method: str
+    target: str  # path and query, as on the wire
+    body: bytes = b""
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Answer:
+    """A whole answer of a chunk server."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+
+def read_load(value: str) -> dict[str, float]:
+    """The figures of a load report; what cannot be read is left out."""
+    found = {}
+    for part in value.removeprefix("TEXT").split(","):
+        name, _, figure = part.strip().partition("=")
+        try:
+            number = float(figure)
+        except ValueError:
+            continue
+        if name in LOAD and math.isfinite(number):
+            found[name] = number
+    return found
+
+
+def read_units(value: str) -> float:
+    try:
+        units = float(value)
+    except ValueError:
+        return 0.0
+    return max(0.0, units) if math.isfinite(units) else 0.0
+
+
+class ChunkClient:
+    def __init__(self, session: aiohttp.ClientSession, directory: Directory) -> None:
+        self._session, self._directory = session, directory
+
+    async def send(self, attempt: Attempt, message: Message) -> tuple[Outcome, Answer | None]:
+        """Makes the attempt: one message, at most one answer, never a second copy."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        progress = Progress()
+        answer = None
+        try:
+            async with attempt.limited():
+                answer = await self._exchange(attempt, message, progress)
+            status = self._status(answer)
+        except TimeoutError as why:
+            # aiohttp's own time-out is the one for connecting; ours ends the wait for an answer
+            connecting = isinstance(why, aiohttp.ConnectionTimeoutError)
+            status = Status.CONNECT_FAILED if connecting else Status.TIMEOUT
+        except aiohttp.ClientConnectorError:
+            status = Status.CONNECT_FAILED
+        except (aiohttp.ClientError, OSError, ValueError) as why:
+            # a break before the last byte was written never ran; after it, it may have
+            status = Status.RESET if progress.written else Status.CONNECT_FAILED
+            log.debug("attempt broke", extra={"node": attempt.node, "why": repr(why)})
+        headers = answer.headers if answer else {}
+        outcome = Outcome(
+            attempt, status, timedelta(seconds=loop.time() - began),
+            load=read_load(headers.get("endpoint-load-metrics", "")),
+            elsewhere=read_units(headers.get("x-served-elsewhere", "")))
+        return outcome, answer
+
+    async def _exchange(self, attempt: Attempt, message: Message, progress: Progress) -> Answer:
+        address = self._directory.addresses.get(attempt.node)
+        if not address:
+            raise aiohttp.ClientConnectionError("no address for the chunk server")
+        PROGRESS.set(progress)
+        wait = max(1, attempt.timeout // timedelta(milliseconds=1))
+        headers = message.headers | {"X-Expires-In-Ms": str(wait)}
+        response = await self._session.request(
+            message.method, URL(f"http://{address}{message.target}", encoded=True), data=message.body or None,
+            headers=headers, allow_redirects=False)
+        try:
+            body = await response.read()  # whole, or not at all: a broken body is a reset
+        except BaseException:
+            response.close()  # the connection too: an abandoned exchange must not come back to the pool
+            raise
+        headers = {name.lower(): value for name, value in response.headers.items()}
+        return Answer(response.status, body, headers)
+
+    @staticmethod
+    def _status(answer: Answer) -> Status:
+        if 200 <= answer.status < 300:
+            return Status.OK
+        if answer.status in (503, 504) and answer.headers.get("x-never-ran") == "1":
+            return Status.FULL
+        return Status.ERROR
--- /dev/null
+++ b/ochrespan/net/discovery.py
@@ -0,0 +1,129 @@
+"""Discovery's list of chunk servers: the known one at the start, then a watch while the broker wants it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from datetime import datetime, timedelta, timezone
+from typing import Any
+
+import aiohttp
+
+from ..broker import Broker, ListKind, Node, NodeState
+
+log = logging.getLogger(__name__)
+
+WAIT = timedelta(seconds=20)  # how long one call of the watch may stay open
+GRACE = timedelta(seconds=2)  # and how much longer its answer may take before it counts as failed
+STATES = {"up": NodeState.READY, "draining": NodeState.DRAINING, "removed": NodeState.GONE}
+
+
+class BadList(ValueError):
+    """Discovery's answer cannot be read."""
+
+
+def read_node(entry: dict[str, Any]) -> tuple[Node, str]:
+    started = float(entry.get("up_since_ms") or 0)
+    weight = float(entry.get("size", 1.0))
+    if not math.isfinite(started) or not math.isfinite(weight):
+        raise ValueError("a figure is not finite")
+    node = Node(
+        id=str(entry["id"]),
+        shard=int(entry.get("cell", -1)),
+        # a phase that is not known gets nothing new
+        state=STATES.get(entry.get("phase", "up"), NodeState.DRAINING),
+        started_at=datetime.fromtimestamp(started / 1000, timezone.utc) if started > 0 else None,
+        zone=str(entry.get("locality", "")),
+        weight=weight,
+    )
+    return node, str(entry.get("host_port", ""))
+
+
+class Directory:
+    """Where the chunk servers listen; the watch keeps it, the client reads it."""
+
+    def __init__(self) -> None:
+        self.addresses: dict[str, str] = {}
+        self.shards: dict[int, list[str]] = {}  # what runs, by shard, for fronts that place data themselves
+        self._nodes: dict[str, Node] = {}
+        self.revision = 0
+
+    def apply(self, listing: Any) -> tuple[ListKind, list[Node]]:
+        """Takes in one of discovery's lists, whole or not at all."""
+        try:
+            complete = bool(listing["complete"])
+            read = [read_node(entry) for entry in listing["members"]]
+            revision = int(listing["revision"])
+        except (LookupError, TypeError, ValueError, OverflowError, AttributeError) as why:
+            raise BadList(f"{type(why).__name__}: {why}") from why
+        if complete:
+            self._nodes = {}
+        for node, address in read:
+            self._nodes[node.id] = node
+            if address:  # kept after a removal: an attempt may just be on its way there
+                self.addresses[node.id] = address
+        if complete:
+            self.addresses = {i: a for i, a in self.addresses.items() if i in self._nodes}
+        self.shards = {}
+        for node in self._nodes.values():
+            if node.state is NodeState.READY:
+                self.shards.setdefault(node.shard, []).append(node.id)
+        self.revision = revision
+        return (ListKind.FULL if complete else ListKind.DELTA), [node for node, _ in read]
+
+
+class Watch:
+    """Calls discovery when the broker asks, and goes on calling for as long as the calls succeed."""
+
+    def __init__(
+        self, broker: Broker, directory: Directory, session: aiohttp.ClientSession, address: str
+    ) -> None:
+        self._broker, self._directory, self._session = broker, directory, session
+        self._url = f"http://{address}/discovery/hosts"
+        self._wanted = asyncio.Event()
+        broker.on_list_wanted(self._wanted.set)
+
+    def known(self, listing: Any) -> None:
+        """The list as this front had it last; it may be old."""
+        try:
+            _, nodes = self._directory.apply(listing)
+        except BadList as why:
+            log.warning("the known list cannot be read", extra={"why": str(why)})
+            self._directory.revision, nodes = 0, []
+        self._broker.listing(ListKind.CACHED, nodes)
+
+    async def run(self) -> None:
+        while True:
+            await self._wanted.wait()
+            try:
+                await self._watch()
+            except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as why:
+                log.info("watch ended", extra={"why": f"{type(why).__name__}: {why}"})
+            except Exception:  # the list must go on whatever one answer did to us
+                log.exception("watch failed")
+            self._wanted.clear()
+            self._broker.listing(ListKind.FAILED)
+
+    async def _watch(self) -> None:
+        """Calls one after the other, each at once after the last: a gap of 200 ms would end the watch."""
+        first = True
+        while True:
+            # the first call only confirms the subscription; a held one would leave the broker waiting
+            wait = timedelta(milliseconds=1) if first else WAIT
+            listing = await self._call(wait)
+            kind, nodes = self._directory.apply(listing)
+            if first or nodes or kind is ListKind.FULL:
+                self._broker.listing(kind, nodes)
+            first = False
+
+    async def _call(self, wait: timedelta) -> Any:
+        query = {"after": str(self._directory.revision), "wait_ms": str(wait // timedelta(milliseconds=1))}
+        if not self._directory.revision:
+            query = {}  # nothing is known to be newer than: the whole list
+        timeout = aiohttp.ClientTimeout(total=(wait + GRACE).total_seconds())
+        call = self._session.get(self._url, params=query, timeout=timeout, allow_redirects=False)
+        async with call as answer:
+            if answer.status != 200:
+                raise BadList(f"status {answer.status}")
+            return await answer.json(content_type=None)
