Watch from revision 0 instead of asking for the whole list in a loop

A probe that logged each call showed 1 ms calls without `after`, back to back, all with revision 0: net/discovery.py `_call` read `if not revision` as "no list known". Ruled out: a wait_ms of 1 as the cause (the loop stayed with 20 s waits). Conclusion: None, not 0, says that no revision is known; calls that bring nothing are paced under the 200 ms for which a watch stands.

--- a/ochrespan/net/discovery.py
+++ b/ochrespan/net/discovery.py
@@ -15,6 +15,7 @@
 log = logging.getLogger(__name__)
 
 WAIT = timedelta(seconds=20)  # how long one call of the watch may stay open
+PACE = timedelta(milliseconds=100)  # least time between calls that bring nothing; a watch stands 200 ms
 GRACE = timedelta(seconds=2)  # and how much longer its answer may take before it counts as failed
 STATES = {"up": NodeState.READY, "draining": NodeState.DRAINING, "removed": NodeState.GONE}
 
@@ -47,7 +48,7 @@
         self.addresses: dict[str, str] = {}
         self.shards: dict[int, list[str]] = {}  # what runs, by shard, for fronts that place data themselves
         self._nodes: dict[str, Node] = {}
-        self.revision = 0
+        self.revision: int | None = None
 
     def apply(self, listing: Any) -> tuple[ListKind, list[Node]]:
         """Takes in one of discovery's lists, whole or not at all."""
@@ -90,7 +91,7 @@
             _, nodes = self._directory.apply(listing)
         except BadList as why:
             log.warning("the known list cannot be read", extra={"why": str(why)})
-            self._directory.revision, nodes = 0, []
+            nodes = []
         self._broker.listing(ListKind.CACHED, nodes)
 
     async def run(self) -> None:
@@ -107,21 +108,24 @@
 
     async def _watch(self) -> None:
         """Calls one after the other, each at once after the last: a gap of 200 ms would end the watch."""
-        first = True
+        first, loop = True, asyncio.get_running_loop()
         while True:
-            # the first call only confirms the subscription; a held one would leave the broker waiting
-            wait = timedelta(milliseconds=1) if first else WAIT
-            listing = await self._call(wait)
-            kind, nodes = self._directory.apply(listing)
+            began = loop.time()
+            kind, nodes = self._directory.apply(await self._call())
             if first or nodes or kind is ListKind.FULL:
                 self._broker.listing(kind, nodes)
             first = False
-
-    async def _call(self, wait: timedelta) -> Any:
-        query = {"after": str(self._directory.revision), "wait_ms": str(wait // timedelta(milliseconds=1))}
-        if not self._directory.revision:
-            query = {}  # nothing is known to be newer than: the whole list
-        timeout = aiohttp.ClientTimeout(total=(wait + GRACE).total_seconds())
+            if not nodes:  # a discovery that does not hold its calls must not be asked in a tight loop
+                await asyncio.sleep(max(0.0, (began + PACE.total_seconds()) - loop.time()))
+
+    async def _call(self) -> Any:
+        query = {}
+        # 0 is a revision like any other: taken for "none known" it made every call ask for the whole list at
+        # once, over and over, until discovery turned all fronts away
+        if self._directory.revision is not None:
+            after, wait_ms = self._directory.revision, WAIT // timedelta(milliseconds=1)
+            query = {"after": str(after), "wait_ms": str(wait_ms)}
+        timeout = aiohttp.ClientTimeout(total=(WAIT + GRACE).total_seconds())
         call = self._session.get(self._url, params=query, timeout=timeout, allow_redirects=False)
         async with call as answer:
             if answer.status != 200:
