--- a/ochrespan/__main__.py
+++ b/ochrespan/__main__.py
@@ -1,22 +1,29 @@
-"""One front: wiring and signals. Run as `python -m ochrespan`."""
+"""One front: wiring and signals. Run as `python -m ochrespan`, with `--operator FILE` for what is off else."""
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import logging
 import os
 import signal
 import sys
+from contextlib import AsyncExitStack
 from datetime import timedelta
+from pathlib import Path
 
 from aiohttp import web
 
-from . import config, logs
+from . import config, logs, operator
 from .broker import Broker
 from .lifecycle import Lifecycle, Phase
+from .metrics.exporters import Collectd, Graphite
 from .net.chunks import ChunkClient, open_session
 from .net.discovery import Directory, Watch
 from .net.platform import PlatformFront
+from .objects.front import ObjectFront
+from .objects.store import ChunkStore
+from .objects.uploads import Uploads
 
 log = logging.getLogger("ochrespan")
 
@@ -25,40 +32,70 @@
 LOOK = timedelta(seconds=0.02)
 
 
-async def serve(told: config.Config) -> None:
+async def listen(handler: web.Server, address: tuple[str, int], stack: AsyncExitStack) -> asyncio.Server:
+    stack.push_async_callback(handler.shutdown, 1.0)
+    return await asyncio.get_running_loop().create_server(handler, *address, backlog=1024, reuse_address=True)
+
+
+def object_front(
+    told: config.Config, objects: operator.Objects, broker: Broker, client: ChunkClient, lifecycle: Lifecycle
+) -> ObjectFront:
+    deadlines = {cls.name: timedelta(seconds=cls.deadline) for cls in told.settings.classes.values()}
+    store = ChunkStore(broker, client, told.links.shards, told.settings.most_units, deadlines)
+    uploads = Uploads(store, told.links.rank, told.settings.heads, objects.least_part)
+    return ObjectFront(objects, store, uploads, lifecycle)
+
+
+async def serve(told: config.Config, extra: operator.Operator) -> None:
     lifecycle = Lifecycle()
     loop = asyncio.get_running_loop()
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, lifecycle.advance, Phase.DRAINING)
+    told.settings.plans |= extra.plans
     broker = Broker(told.settings)
     directory = Directory()
-    async with open_session(told.links, told.sockets // 2) as session:
+    async with AsyncExitStack() as stack:
+        session = await stack.enter_async_context(open_session(told.links, told.sockets // 2))
         watch = Watch(broker, directory, session, told.discovery)
         watch.known(told.known)
-        front = PlatformFront(broker, ChunkClient(session, directory), lifecycle)
-        server = web.Server(front.handle, handler_cancellation=True, access_log=None, auto_decompress=False)
-        listener = await loop.create_server(server, *told.listen, backlog=1024, reuse_address=True)
-        watching = asyncio.create_task(watch.run())
+        client = ChunkClient(session, directory)
+        fronts = [(PlatformFront(broker, client, lifecycle).handle, told.listen)]
+        if extra.objects is not None:
+            front = object_front(told, extra.objects, broker, client, lifecycle)
+            fronts.append((front.handle, extra.objects.listen))
+        jobs = [watch.run()]
+        jobs += [Graphite(extra.graphite, told.name, broker).run()] if extra.graphite else []
+        jobs += [Collectd(extra.collectd, told.name, broker).run()] if extra.collectd else []
+        listeners = []
+        for handle, address in fronts:
+            server = web.Server(handle, handler_cancellation=True, access_log=None, auto_decompress=False)
+            listeners.append(await listen(server, address, stack))
+        tasks = [asyncio.create_task(job) for job in jobs]
         lifecycle.advance(Phase.READY)
         await lifecycle.reached(Phase.DRAINING)
         await asyncio.sleep(ACCEPTS.total_seconds())
-        listener.close()
-        while broker.held:
+        for listener in listeners:
+            listener.close()
+        while lifecycle.working:
             await asyncio.sleep(LOOK.total_seconds())
-        await server.shutdown(1.0)
-        watching.cancel()
+        for task in tasks:
+            task.cancel()
         broker.close()
     lifecycle.advance(Phase.STOPPED)
 
 
 def main() -> int:
+    parser = argparse.ArgumentParser(prog="ochrespan", description="One front of the broker.")
+    parser.add_argument("--operator", type=Path, help="the operator's file: object API, teams, exporters")
+    chosen = parser.parse_args()
     logs.set_up()
     try:
         told = config.load(os.environ)
+        extra = operator.load(chosen.operator, told.settings) if chosen.operator else operator.Operator()
     except config.BadConfig as why:
         log.error("cannot start", extra={"why": str(why)})
         return 2
-    asyncio.run(serve(told))
+    asyncio.run(serve(told, extra))
     return 0
 
 
--- a/ochrespan/broker.py
+++ b/ochrespan/broker.py
@@ -12,7 +12,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from datetime import datetime, timedelta, timezone
+from datetime import UTC, datetime, timedelta
 from itertools import count
 
 from . import interface as api
@@ -100,12 +100,27 @@
     weight: float = 1.0
 
 
+@dataclass(slots=True)
+class Usage:
+    """What one plan has had in one class."""
+
+    taken: int = 0
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    left: int = 0
+    units: float = 0.0  # served
+    seconds: float = 0.0  # from taken to served, summed
+
+
 @dataclass(slots=True, eq=False)
 class _Held:
     """A request in the broker's hands."""
 
     id: str
     request: Request
+    taken_at: float
+    usage: Usage
     attempts: int = 0
     out: Attempt | None = None
     step: asyncio.Future[Attempt | Refused | Failed] | None = None
@@ -116,12 +131,9 @@
 class Counts:
     """What has happened since the start, for the exporters."""
 
-    taken: int = 0
     attempts: int = 0
-    refused: int = 0
-    failed: int = 0
-    left: int = 0
     outcomes: dict[Status, int] = field(default_factory=lambda: dict.fromkeys(Status, 0))
+    usage: dict[tuple[str, str], Usage] = field(default_factory=dict)  # by plan and class
 
 
 class Broker:
@@ -129,7 +141,8 @@
         self._loop = loop or asyncio.get_running_loop()
         # one clock for the module: Unix time at the start, moved on by the loop's steady clock, so that the
         # starts of chunk servers compare with it and a step of the system's clock moves no deadline
-        self._offset = datetime.now(timezone.utc).timestamp() - self._loop.time()
+        self._offset = datetime.now(UTC).timestamp() - self._loop.time()
+        self._settings = settings
         self._scheduler = Scheduler(settings, self._now())
         self._held: dict[Request, _Held] = {}
         self._by_id: dict[str, _Held] = {}
@@ -156,10 +169,10 @@
         """The next attempt of the request, or its final refusal or failure."""
         held = self._held.get(request)
         if held is None:
-            held = _Held(f"q{next(self._ids)}", request)
+            held = _Held(f"q{next(self._ids)}", request, self._loop.time(), self._usage(request))
             self._held[request] = self._by_id[held.id] = held
             held.step = self._loop.create_future()
-            self.counts.taken += 1
+            held.usage.taken += 1
             self._handle(api.Request(
                 held.id, request.volume, request.cls, request.plan, request.time_left.total_seconds(),
                 request.units, request.shard, request.key, request.hosts))
@@ -169,6 +182,8 @@
             self.leave(request)
             raise
         if isinstance(step, Refused | Failed):
+            held.usage.refused += isinstance(step, Refused)
+            held.usage.failed += isinstance(step, Failed)
             self._forget(held)
         return step
 
@@ -189,6 +204,9 @@
             held.id, outcome.attempt.number, outcome.attempt.node, status, outcome.latency.total_seconds(),
             closed=served or held.final is not None, report=outcome.load, elsewhere=outcome.elsewhere))
         if served:
+            held.usage.served += 1
+            held.usage.units += held.request.units
+            held.usage.seconds += self._loop.time() - held.taken_at
             self._forget(held)
 
     def leave(self, request: Request) -> None:
@@ -196,7 +214,7 @@
         held = self._held.get(request)
         if held is None:
             return
-        self.counts.left += 1
+        held.usage.left += 1
         self._forget(held)
         if held.final is None:
             self._handle(api.Gone(held.id))
@@ -227,10 +245,8 @@
                 case api.Send(request_id, node, timeout):
                     self._sent(request_id, node, timeout)
                 case api.Refuse(request_id, pause):
-                    self.counts.refused += 1
                     self._ended(request_id, Refused(timedelta(seconds=pause) if pause > 0 else None))
                 case api.Fail(request_id):
-                    self.counts.failed += 1
                     self._ended(request_id, Failed())
                 case api.Cancel(request_id, number):
                     held = self._by_id.get(request_id)
@@ -243,6 +259,12 @@
                 case api.Log(words):
                     log.info(words)
 
+    def _usage(self, request: Request) -> Usage:
+        """The counters of its plan and class; names that the settings lack share one, as clients make them up."""
+        plan = request.plan if request.plan in self._settings.plans else "other"
+        cls = request.cls if request.cls in self._settings.classes else "other"
+        return self.counts.usage.setdefault((plan, cls), Usage())
+
     def _wake(self, delay: float) -> None:
         # the module asks for a timer only when it needs an earlier one, or when the last has come
         if self._timer is not None:
--- a/ochrespan/lifecycle.py
+++ b/ochrespan/lifecycle.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+from collections.abc import Iterator
+from contextlib import contextmanager
 from enum import Enum
 
 log = logging.getLogger(__name__)
@@ -21,6 +23,7 @@
 
     def __init__(self) -> None:
         self.phase = Phase.STARTING
+        self.working = 0  # requests between their first look and their answer, on all fronts
         self._reached = {phase: asyncio.Event() for phase in Phase}
         self._reached[Phase.STARTING].set()
 
@@ -33,6 +36,15 @@
         for earlier in order[: order.index(phase) + 1]:
             self._reached[earlier].set()
 
+    @contextmanager
+    def work(self) -> Iterator[None]:
+        """One request's time in a front: the program does not stop under it."""
+        self.working += 1
+        try:
+            yield
+        finally:
+            self.working -= 1
+
     async def reached(self, phase: Phase) -> None:
         await self._reached[phase].wait()
 
--- a/ochrespan/logs.py
+++ b/ochrespan/logs.py
@@ -5,7 +5,7 @@
 import json
 import logging
 import sys
-from datetime import datetime, timezone
+from datetime import UTC, datetime
 
 STANDARD = set(vars(logging.makeLogRecord({}))) | {"message", "asctime", "taskName"}
 
@@ -17,7 +17,7 @@
 
 class KeyValueFormatter(logging.Formatter):
     def format(self, record: logging.LogRecord) -> str:
-        at = datetime.fromtimestamp(record.created, timezone.utc).isoformat(timespec="milliseconds")
+        at = datetime.fromtimestamp(record.created, UTC).isoformat(timespec="milliseconds")
         fields: dict[str, object] = {"at": at, "level": record.levelname.lower(), "from": record.name}
         fields["msg"] = record.getMessage()
         fields |= {k: v for k, v in vars(record).items() if k not in STANDARD}
--- /dev/null
+++ b/ochrespan/metrics/exporters.py
@@ -0,0 +1,124 @@
+"""Sends the readings: lines over TCP to Graphite, parts over UDP to collectd.
+
+Each exporter is a task of its own that keeps nothing when its sink is dead: the readings are sums, so the next
+round that gets through tells the same.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import struct
+from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from datetime import UTC, datetime, timedelta
+
+from ..broker import Broker
+from ..operator import Sink
+from .readings import Reading, plain, readings
+
+log = logging.getLogger(__name__)
+
+PATIENCE = timedelta(seconds=2)  # for one round with a sink
+MOST_PACKET = 1452  # collectd's own size of a packet
+HOST, PLUGIN, INSTANCE, TYPE, TYPE_INSTANCE, VALUES, TIME_HR, INTERVAL_HR = 0, 2, 3, 4, 5, 6, 8, 9
+GAUGE, DERIVE = 1, 2
+HR = 1 << 30  # collectd's fractions of a second
+
+
+class Exporter(ABC):
+    def __init__(self, sink: Sink, host: str, broker: Broker) -> None:
+        self.sink, self.host, self._broker = sink, plain(host), broker
+
+    async def run(self) -> None:
+        failing = False
+        while True:
+            await asyncio.sleep(self.sink.every.total_seconds())
+            try:
+                async with asyncio.timeout(PATIENCE.total_seconds()):
+                    await self.send(list(readings(self._broker)), datetime.now(UTC))
+                if failing:
+                    log.info("sink answers again", extra={"sink": type(self).__name__})
+                failing = False
+            except (OSError, TimeoutError) as why:
+                if not failing:
+                    log.warning("sink fails", extra={"sink": type(self).__name__, "why": repr(why)})
+                failing = True
+                self.close()
+
+    @abstractmethod
+    async def send(self, found: list[Reading], at: datetime) -> None: ...
+
+    @abstractmethod
+    def close(self) -> None: ...
+
+
+class Graphite(Exporter):
+    _writer: asyncio.StreamWriter | None = None
+
+    def lines(self, found: list[Reading], at: datetime) -> bytes:
+        stamp = int(at.timestamp())
+        return "".join(
+            f"{self.sink.prefix}.{self.host}.{r.group}.{r.name} {r.value:.10g} {stamp}\n" for r in found).encode()
+
+    async def send(self, found: list[Reading], at: datetime) -> None:
+        if self._writer is not None and self._writer.is_closing():
+            self.close()
+        if self._writer is None:
+            _, self._writer = await asyncio.open_connection(*self.sink.address)
+        self._writer.write(self.lines(found, at))
+        await self._writer.drain()
+
+    def close(self) -> None:
+        if self._writer is not None:
+            self._writer.transport.abort()  # what the dead sink did not take must not pile up
+            self._writer = None
+
+
+def text_part(kind: int, text: str) -> bytes:
+    body = text.encode()[:63] + b"\0"
+    return struct.pack("!HH", kind, 4 + len(body)) + body
+
+
+def number_part(kind: int, number: int) -> bytes:
+    return struct.pack("!HHQ", kind, 12, number)
+
+
+def values_part(reading: Reading) -> bytes:
+    """One value: a derive is a signed whole number in network order, a gauge a double in x86 order."""
+    head = struct.pack("!HHHB", VALUES, 15, 1, DERIVE if reading.counter else GAUGE)
+    body = struct.pack("!q", round(reading.value)) if reading.counter else struct.pack("<d", reading.value)
+    return head + body
+
+
+class Collectd(Exporter):
+    _transport: asyncio.DatagramTransport | None = None
+
+    def packets(self, found: list[Reading], at: datetime) -> Iterator[bytes]:
+        head = text_part(HOST, self.host)
+        head += number_part(TIME_HR, int(at.timestamp() * HR))
+        head += number_part(INTERVAL_HR, int(self.sink.every.total_seconds() * HR))
+        head += text_part(PLUGIN, self.sink.prefix)
+        packet = head
+        for reading in found:
+            parts = text_part(INSTANCE, reading.group)
+            parts += text_part(TYPE, "derive" if reading.counter else "gauge")
+            parts += text_part(TYPE_INSTANCE, reading.name) + values_part(reading)
+            if len(packet) + len(parts) > MOST_PACKET:
+                yield packet
+                packet = head
+            packet += parts
+        yield packet
+
+    async def send(self, found: list[Reading], at: datetime) -> None:
+        if self._transport is None or self._transport.is_closing():
+            loop = asyncio.get_running_loop()
+            self._transport, _ = await loop.create_datagram_endpoint(
+                asyncio.DatagramProtocol, remote_addr=self.sink.address)
+        for packet in self.packets(found, at):
+            self._transport.sendto(packet)
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+            self._transport = None
--- a/ochrespan/net/chunks.py
+++ b/ochrespan/net/chunks.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+from collections.abc import Callable
 from contextvars import ContextVar
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -13,7 +14,7 @@
 from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
-from ..broker import Attempt, Outcome, Status
+from ..broker import Attempt, Broker, Failed, Outcome, Refused, Request, Status
 from ..settings import Links
 from .discovery import Directory
 
@@ -77,6 +78,8 @@
     target: str  # path and query, as on the wire
     body: bytes = b""
     headers: dict[str, str] = field(default_factory=dict)
+    served: frozenset[int] = frozenset({200})  # the statuses that answer it
+    check: Callable[[Answer], bool] = lambda answer: True  # whether a whole answer is what was asked for
 
 
 @dataclass(slots=True)
@@ -123,7 +126,7 @@
         try:
             async with attempt.limited():
                 answer = await self._exchange(attempt, message, progress)
-            status = self._status(answer)
+            status = self._status(answer, message)
         except TimeoutError as why:
             # aiohttp's own time-out is the one for connecting; ours ends the wait for an answer
             connecting = isinstance(why, aiohttp.ConnectionTimeoutError)
@@ -160,9 +163,26 @@
         return Answer(response.status, body, headers)
 
     @staticmethod
-    def _status(answer: Answer) -> Status:
-        if 200 <= answer.status < 300:
-            return Status.OK
+    def _status(answer: Answer, message: Message) -> Status:
+        if answer.status in message.served:
+            return Status.OK if message.check(answer) else Status.ERROR
         if answer.status in (503, 504) and answer.headers.get("x-never-ran") == "1":
             return Status.FULL
         return Status.ERROR
+
+
+async def serve(
+    broker: Broker, client: ChunkClient, request: Request, message: Message
+) -> Answer | Refused | Failed:
+    """A request from its first attempt to its one final answer."""
+    try:
+        while True:
+            attempt = await broker.pick(request)
+            if isinstance(attempt, Refused | Failed):
+                return attempt
+            outcome, answer = await client.send(attempt, message)
+            broker.report(outcome)
+            if outcome.status is Status.OK and answer is not None:
+                return answer
+    finally:
+        broker.leave(request)  # nothing to do unless the client left or we broke
--- a/ochrespan/net/discovery.py
+++ b/ochrespan/net/discovery.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import math
-from datetime import datetime, timedelta, timezone
+from datetime import UTC, datetime, timedelta
 from typing import Any
 
 import aiohttp
@@ -34,7 +34,7 @@
         shard=int(entry.get("cell", -1)),
         # a phase that is not known gets nothing new
         state=STATES.get(entry.get("phase", "up"), NodeState.DRAINING),
-        started_at=datetime.fromtimestamp(started / 1000, timezone.utc) if started > 0 else None,
+        started_at=datetime.fromtimestamp(started / 1000, UTC) if started > 0 else None,
         zone=str(entry.get("locality", "")),
         weight=weight,
     )
--- a/ochrespan/net/platform.py
+++ b/ochrespan/net/platform.py
@@ -10,9 +10,9 @@
 
 from aiohttp import web
 
-from ..broker import Broker, Failed, Refused, Request, Status
+from ..broker import Broker, Failed, Refused, Request
 from ..lifecycle import Lifecycle
-from .chunks import ChunkClient, Message
+from .chunks import ChunkClient, Message, serve
 
 log = logging.getLogger(__name__)
 
@@ -69,18 +69,19 @@
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """One final answer to whatever arrives, also when something of ours breaks."""
-        try:
-            response = await self._answer(request)
-        except Malformed as why:
-            response = web.Response(status=400, text=f"{why}\n")
-        except asyncio.CancelledError:
-            raise
-        except Exception:
-            log.exception("request failed")
-            response = web.Response(status=500)
-        if self._lifecycle.ending:
-            response.force_close()  # only after the whole answer
-        return response
+        with self._lifecycle.work():
+            try:
+                response = await self._answer(request)
+            except Malformed as why:
+                response = web.Response(status=400, text=f"{why}\n")
+            except asyncio.CancelledError:
+                raise
+            except Exception:
+                log.exception("request failed")
+                response = web.Response(status=500)
+            if self._lifecycle.ending:
+                response.force_close()  # only after the whole answer
+            return response
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
         if request.raw_path == "/up":
@@ -93,21 +94,10 @@
         message = Message(request.method, request.raw_path, body, headers)
         if body:
             message.headers["Content-Type"] = request.headers.get("Content-Type", "application/octet-stream")
-        return await self._serve(taken, message)
-
-    async def _serve(self, taken: Request, message: Message) -> web.Response:
-        try:
-            while True:
-                match await self._broker.pick(taken):
-                    case Refused(pause):
-                        headers = {"Retry-After": retry_after(pause)} if pause else {}
-                        return web.Response(status=503, headers=headers)
-                    case Failed():
-                        return web.Response(status=502)
-                    case attempt:
-                        outcome, answer = await self._chunks.send(attempt, message)
-                        self._broker.report(outcome)
-                        if outcome.status is Status.OK and answer is not None:
-                            return web.Response(status=200, body=answer.body)
-        finally:
-            self._broker.leave(taken)  # nothing to do unless the client left or we broke
+        match await serve(self._broker, self._chunks, taken, message):
+            case Refused(pause):
+                return web.Response(status=503, headers={"Retry-After": retry_after(pause)} if pause else {})
+            case Failed():
+                return web.Response(status=502)
+            case answer:
+                return web.Response(status=200, body=answer.body)
--- /dev/null
+++ b/ochrespan/objects/conditions.py
@@ -0,0 +1,83 @@
+"""Byte ranges and conditional requests, as RFC 9110 has them."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from datetime import UTC, datetime
+from email.utils import format_datetime, parsedate_to_datetime
+from enum import Enum
+
+RANGE = re.compile(r"bytes=\s*(\d*)\s*-\s*(\d*)\s*", re.IGNORECASE)
+
+
+class Unsatisfiable(ValueError):
+    """No byte of the object lies in the range."""
+
+
+class Verdict(Enum):
+    GO = 200
+    NOT_MODIFIED = 304
+    FAILED = 412
+
+
+def read_range(header: str | None, size: int) -> tuple[int, int] | None:
+    """Begin and end (without) of the range; None to send the whole: no range, several, or not one we read."""
+    found = RANGE.fullmatch(header.strip()) if header else None
+    if found is None or not (found[1] or found[2]):
+        return None
+    if not found[1]:
+        begin, end = size - min(size, int(found[2])), size
+    else:
+        begin, end = int(found[1]), min(size, int(found[2]) + 1) if found[2] else size
+        if found[2] and int(found[2]) < int(found[1]):
+            return None  # not a range at all
+    if begin >= end:
+        raise Unsatisfiable
+    return begin, end
+
+
+def http_date(at: datetime) -> str:
+    return format_datetime(at.astimezone(UTC).replace(microsecond=0), usegmt=True)
+
+
+def read_date(header: str | None) -> datetime | None:
+    """A date that cannot be read is ignored, as the RFC asks."""
+    if not header:
+        return None
+    try:
+        at = parsedate_to_datetime(header)
+    except (TypeError, ValueError, IndexError):
+        return None
+    return at if at.tzinfo else at.replace(tzinfo=UTC)
+
+
+def names_etag(header: str, etag: str) -> bool:
+    tags = [tag.strip().removeprefix("W/").strip('"') for tag in header.split(",")]
+    return "*" in tags or etag in tags
+
+
+def judge(headers: Mapping[str, str], etag: str, modified: datetime) -> Verdict:
+    """What a read's conditions say of an object; an ETag's word goes before a date's."""
+    modified = modified.replace(microsecond=0)
+    if (header := headers.get("If-Match")) is not None:
+        if not names_etag(header, etag):
+            return Verdict.FAILED
+    elif (at := read_date(headers.get("If-Unmodified-Since"))) is not None and modified > at:
+        return Verdict.FAILED
+    if (header := headers.get("If-None-Match")) is not None:
+        if names_etag(header, etag):
+            return Verdict.NOT_MODIFIED
+    elif (at := read_date(headers.get("If-Modified-Since"))) is not None and modified <= at:
+        return Verdict.NOT_MODIFIED
+    return Verdict.GO
+
+
+def range_holds(headers: Mapping[str, str], etag: str, modified: datetime) -> bool:
+    """Whether If-Range lets the range stand; otherwise the whole object is sent."""
+    header = headers.get("If-Range")
+    if header is None:
+        return True
+    if (at := read_date(header)) is not None:
+        return modified.replace(microsecond=0) == at
+    return header.strip().strip('"') == etag and not header.startswith("W/")
--- /dev/null
+++ b/ochrespan/objects/store.py
@@ -0,0 +1,190 @@
+"""Chunks in and out: each one is a request of the core, under its team's plan and class."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import secrets
+from collections import deque
+from collections.abc import AsyncIterator, Coroutine
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from typing import Any
+
+from ..broker import Broker, Failed, Refused, Request
+from ..net.chunks import Answer, ChunkClient, Message, serve
+from ..operator import Team
+from . import layout
+from .layout import Manifest, Names, Part, Piece
+
+DEPTH = 4  # chunks of one object under way at a time: bounds memory and what one client occupies
+
+
+class Unavailable(Exception):
+    """Refused: trying again is harmless."""
+
+    def __init__(self, pause: timedelta | None) -> None:
+        super().__init__("refused")
+        self.pause = pause
+
+
+class Broken(Exception):
+    """Failed, or what is stored is not whole."""
+
+
+class Expired(Exception):
+    """The client's own deadline has passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Scope:
+    """On whose behalf, and until when."""
+
+    team: Team
+    bucket: str
+    key: str
+    ends: datetime | None = None
+
+
+class ChunkStore:
+    def __init__(
+        self, broker: Broker, client: ChunkClient, shards: int, most_units: float, deadlines: dict[str, timedelta]
+    ) -> None:
+        self._broker, self._client = broker, client
+        self._shards, self._most_units, self._deadlines = shards, max(1.0, most_units), deadlines
+
+    def _request(self, scope: Scope, cls: str, place: layout.Place, size: int) -> Request:
+        left = self._deadlines[cls]
+        if scope.ends is not None:
+            left = min(left, scope.ends - layout.now())
+            if left <= timedelta():
+                raise Expired
+        units = max(1.0, -(-size * self._most_units // layout.MOST_BODY))
+        return Request(place.volume, cls, scope.team.plan, left, units, place.shard, place.key)
+
+    async def _serve(self, request: Request, message: Message) -> Answer:
+        message.headers["X-Trace-Id"] = secrets.token_hex(8)
+        match await serve(self._broker, self._client, request, message):
+            case Refused(pause):
+                raise Unavailable(pause)
+            case Failed():
+                raise Broken("no chunk server served it")
+            case answer:
+                return answer
+
+    async def write(self, scope: Scope, cls: str, names: Names, payload: bytes) -> None:
+        if len(payload) > layout.PAYLOAD:
+            raise Broken("a record does not fit into a chunk")
+        spot = layout.place(scope.team.name, names, self._shards)
+        request = self._request(scope, cls, spot, len(payload))
+        await self._serve(request, Message("PUT", spot.target, layout.seal(names, payload)))
+
+    async def read(self, scope: Scope, cls: str, names: Names, size: int) -> bytes | None:
+        """The payload, or None where nothing is stored. Only a whole body whose seal opens ends the request."""
+        spot = layout.place(scope.team.name, names, self._shards)
+
+        def whole(answer: Answer) -> bool:
+            if answer.status == 404:
+                return True
+            try:
+                layout.unseal(names, answer.body)
+            except layout.Corrupt:
+                return False
+            return True
+
+        message = Message("GET", spot.target, served=frozenset({200, 404}), check=whole)
+        answer = await self._serve(self._request(scope, cls, spot, size), message)
+        return None if answer.status == 404 else answer.body[layout.SEAL:]
+
+    async def read_record(self, scope: Scope, names: Names) -> Any:
+        payload = await self.read(scope, scope.team.read, names, 1)
+        return None if payload is None else layout.unpack(payload)
+
+    async def write_record(self, scope: Scope, names: Names, record: Any) -> None:
+        await self.write(scope, scope.team.write, names, layout.pack(record))
+
+    # ---- whole objects ----
+
+    async def manifest(self, scope: Scope) -> Manifest | None:
+        names = layout.manifest_names(scope.bucket, scope.key)
+        payload = await self.read(scope, scope.team.read, names, 1)
+        found = Manifest.decode(payload) if payload is not None else None
+        return None if found is None or found.deleted else found
+
+    async def commit(self, scope: Scope, manifest: Manifest) -> None:
+        """The last write of an object: until it is done, readers see what was there before."""
+        names = layout.manifest_names(scope.bucket, scope.key)
+        await self.write(scope, scope.team.write, names, manifest.encode())
+
+    async def store(self, scope: Scope, body: AsyncIterator[bytes], number: int = 1) -> Part:
+        """Stores a run of bytes in chunks of a new generation; nothing refers to them yet."""
+        generation, digest, size = secrets.token_hex(6), hashlib.md5(usedforsecurity=False), 0
+        blank = Part(number, 0, "", generation)
+        window = Window()
+        try:
+            index = 0
+            async for payload in body:
+                digest.update(payload)
+                size += len(payload)
+                names = layout.data_names(scope.bucket, scope.key, blank, index)
+                await window.room()
+                window.add(self.write(scope, scope.team.write, names, payload))
+                index += 1
+            await window.empty()
+        finally:
+            await window.cancel()
+        modified = int(layout.now().timestamp() * 1000)
+        return Part(number, size, digest.hexdigest(), generation, modified)
+
+    async def load(self, scope: Scope, cls: str, pieces: list[Piece]) -> AsyncIterator[bytes]:
+        """The bytes of these pieces, in order, each once, with a few chunks read ahead."""
+        window, coming = Window(), iter(pieces)
+        try:
+            while True:
+                while len(window) < DEPTH and (piece := next(coming, None)) is not None:
+                    window.add(self._load(scope, cls, piece))
+                if not len(window):
+                    return
+                yield await window.first()
+        finally:
+            await window.cancel()
+
+    async def _load(self, scope: Scope, cls: str, piece: Piece) -> bytes:
+        names = layout.data_names(scope.bucket, scope.key, piece.part, piece.index)
+        payload = await self.read(scope, cls, names, piece.length)
+        if payload is None or len(payload) != piece.length:
+            raise Broken(f"chunk {json.dumps(names)} is missing")
+        return payload[piece.begin:piece.end]
+
+
+class Window:
+    """A few tasks in order; the first failure ends them all, and none is left behind."""
+
+    def __init__(self) -> None:
+        self._tasks: deque[asyncio.Task[Any]] = deque()
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    def add(self, work: Coroutine[Any, Any, Any]) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+    async def first(self) -> Any:
+        result = await self._tasks[0]
+        self._tasks.popleft()
+        return result
+
+    async def room(self) -> None:
+        while len(self._tasks) >= DEPTH:
+            await self.first()
+
+    async def empty(self) -> None:
+        while self._tasks:
+            await self.first()
+
+    async def cancel(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks.clear()
--- /dev/null
+++ b/ochrespan/objects/uploads.py
@@ -0,0 +1,117 @@
+"""Multipart uploads. Their state lies on the chunk servers too, so each call may reach another front.
+
+Every front keeps the list of the parts that came through it in a record of its own, which no other writes; the
+parts of an upload are all those lists together, the newest of each number.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections import OrderedDict
+from contextlib import suppress
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from . import layout
+from .layout import Manifest, Part
+from .store import Broken, ChunkStore, Expired, Scope, Unavailable
+
+MOST_LOCKS = 1000
+
+
+class NoSuchUpload(Exception):
+    pass
+
+
+class BadPart(Exception):
+    """A part that was named is not there, not the one meant, or too small."""
+
+    def __init__(self, code: str, words: str) -> None:
+        super().__init__(words)
+        self.code = code
+
+
+@dataclass(slots=True)
+class Upload:
+    id: str
+    content_type: str
+    meta: dict[str, str] = field(default_factory=dict)
+
+
+class Uploads:
+    def __init__(self, store: ChunkStore, front: int, fronts: int, least_part: int) -> None:
+        self._store, self._front, self._fronts = store, front, max(1, fronts, front + 1)
+        self._least_part = least_part
+        self._locks: OrderedDict[str, asyncio.Lock] = OrderedDict()
+
+    def _lock(self, upload: str) -> asyncio.Lock:
+        """One writer at a time for this front's list of an upload's parts."""
+        lock = self._locks.setdefault(upload, asyncio.Lock())
+        self._locks.move_to_end(upload)
+        while len(self._locks) > MOST_LOCKS and not next(iter(self._locks.values())).locked():
+            self._locks.popitem(last=False)
+        return lock
+
+    async def create(self, scope: Scope, content_type: str, meta: dict[str, str]) -> str:
+        upload = secrets.token_hex(16)
+        await self._mark(scope, Upload(upload, content_type, meta), "open")
+        return upload
+
+    async def _mark(self, scope: Scope, upload: Upload, state: str) -> None:
+        names = layout.upload_names(scope.bucket, scope.key, upload.id)
+        record = {"state": state, "type": upload.content_type, "meta": upload.meta}
+        await self._store.write_record(scope, names, record)
+
+    async def find(self, scope: Scope, upload: str) -> Upload:
+        record = await self._store.read_record(scope, layout.upload_names(scope.bucket, scope.key, upload))
+        if record is None or record["state"] != "open":
+            raise NoSuchUpload(upload)
+        return Upload(upload, record["type"], record["meta"])
+
+    async def put_part(self, scope: Scope, upload: str, part: Part) -> None:
+        """Makes a stored part known."""
+        names = layout.index_names(scope.bucket, scope.key, upload, self._front)
+        async with self._lock(upload):
+            mine = await self._read_index(scope, upload, self._front)
+            mine[part.number] = part
+            await self._store.write_record(scope, names, [list(asdict(p).values()) for p in mine.values()])
+
+    async def _read_index(self, scope: Scope, upload: str, front: int) -> dict[int, Part]:
+        names = layout.index_names(scope.bucket, scope.key, upload, front)
+        record: list[Any] = await self._store.read_record(scope, names) or []
+        return {part.number: part for part in (Part(*entry) for entry in record)}
+
+    async def parts(self, scope: Scope, upload: str) -> dict[int, Part]:
+        reads = (self._read_index(scope, upload, front) for front in range(self._fronts))
+        found: dict[int, Part] = {}
+        for index in await asyncio.gather(*reads):
+            for number, part in index.items():
+                if number not in found or part.modified_ms > found[number].modified_ms:
+                    found[number] = part
+        return dict(sorted(found.items()))
+
+    async def complete(self, scope: Scope, upload: str, wanted: list[tuple[int, str]]) -> Manifest:
+        opened = await self.find(scope, upload)
+        have = await self.parts(scope, upload)
+        numbers = [number for number, _ in wanted]
+        if not wanted or len(wanted) > layout.MOST_PARTS:
+            raise BadPart("MalformedXML", f"name 1 to {layout.MOST_PARTS} parts")
+        if numbers != sorted(set(numbers)):
+            raise BadPart("InvalidPartOrder", "the parts must be named in ascending order")
+        chosen = []
+        for number, etag in wanted:
+            if number not in have or have[number].md5 != etag.strip('"'):
+                raise BadPart("InvalidPart", f"part {number} was not uploaded with this ETag")
+            chosen.append(have[number])
+        if any(part.size < self._least_part for part in chosen[:-1]):
+            raise BadPart("EntityTooSmall", f"every part but the last needs {self._least_part} bytes")
+        manifest = Manifest(layout.etag_of_parts(chosen), layout.now(), chosen, opened.content_type, opened.meta)
+        await self._store.commit(scope, manifest)
+        # the object stands from here on: a mark that cannot be made must not turn that into a failure
+        with suppress(Unavailable, Broken, Expired):
+            await self._mark(scope, opened, "complete")
+        return manifest
+
+    async def abort(self, scope: Scope, upload: str) -> None:
+        await self._mark(scope, await self.find(scope, upload), "aborted")
--- /dev/null
+++ b/ochrespan/objects/xml.py
@@ -0,0 +1,47 @@
+"""The XML of S3's errors and results."""
+
+from __future__ import annotations
+
+from xml.etree import ElementTree
+
+from defusedxml import ElementTree as SafeTree
+from defusedxml.common import DefusedXmlException
+
+SPACE = "http://s3.amazonaws.com/doc/2006-03-01/"
+
+Child = tuple[str, "str | list[Child]"]
+
+
+class BadXml(ValueError):
+    pass
+
+
+def render(root: str, children: list[Child], space: str = SPACE) -> bytes:
+    def fill(element: ElementTree.Element, entries: list[Child]) -> None:
+        for name, value in entries:
+            child = ElementTree.SubElement(element, name)
+            if isinstance(value, str):
+                child.text = value
+            else:
+                fill(child, value)
+
+    top = ElementTree.Element(root, {"xmlns": space} if space else {})
+    fill(top, children)
+    return ElementTree.tostring(top, encoding="utf-8", xml_declaration=True)
+
+
+def read_parts(body: bytes) -> list[tuple[int, str]]:
+    """The parts that a client names to complete an upload: number and ETag."""
+    try:
+        root = SafeTree.fromstring(body, forbid_dtd=True)
+    except (ElementTree.ParseError, DefusedXmlException, ValueError) as why:
+        raise BadXml("the body is not well-formed") from why
+    found = []
+    for part in root.iter():
+        if part.tag.rpartition("}")[2] != "Part":
+            continue
+        fields = {child.tag.rpartition("}")[2]: (child.text or "").strip() for child in part}
+        if not fields.get("PartNumber", "").isdecimal() or not fields.get("ETag"):
+            raise BadXml("a part needs PartNumber and ETag")
+        found.append((int(fields["PartNumber"]), fields["ETag"]))
+    return found
--- a/ochrespan/settings.py
+++ b/ochrespan/settings.py
@@ -137,16 +137,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Links:
-    """What the settings say of connections; the decisions do not need it."""
+    """What the settings say of connections and of the front's place; the decisions do not need it."""
 
     connect_timeout: timedelta
     idle: timedelta  # chunk servers close what was idle for so long
+    rank: int = 0  # this front's number among all
+    shards: int = 1
 
 
 def read_links(got: Fields) -> Links:
     return Links(
         connect_timeout=timedelta(seconds=seconds(got, "Limits.ConnectTimeoutNs", NS)),
         idle=timedelta(seconds=seconds(got, "Limits.KeepaliveNs", 15 * NS)),
+        rank=int(number(got, "Rank", 0)),
+        shards=int(number(got, "Extra.SlotsTotal", 1)),
     )
 
 
--- /dev/null
+++ b/tests/test_chunks.py
@@ -0,0 +1,54 @@
+"""What one exchange with a chunk server counts as."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from ochrespan.broker import Attempt, Request, Status
+from ochrespan.net.chunks import ChunkClient, Message, open_session, read_load
+from ochrespan.net.discovery import Directory
+from ochrespan.settings import Links
+
+from .world import play
+
+LINKS = Links(timedelta(seconds=0.5), timedelta(seconds=15))
+UNREAD = 32 << 20  # far more than the kernel takes for a peer that does not read
+
+
+@pytest.mark.parametrize(("size", "wanted"), [(UNREAD, Status.CONNECT_FAILED), (100, Status.RESET)])
+def test_a_break_before_the_last_byte_was_written_never_ran(size, wanted):
+    async def story():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            reader._transport.pause_reading()
+            await asyncio.sleep(0.2)
+            writer.transport.abort()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        directory = Directory()
+        directory.addresses["n"] = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        request = Request("v", "read", "gold", timedelta(seconds=5))
+        async with open_session(LINKS, 10) as session:
+            attempt = Attempt(request, 0, "n", timedelta(seconds=5))
+            message = Message("PUT", "/x", bytes(size))
+            outcome, answer = await ChunkClient(session, directory).send(attempt, message)
+        assert outcome.status is wanted and answer is None
+
+    play(story())
+
+
+def test_an_attempt_taken_back_before_it_began_sends_nothing():
+    async def story():
+        async with open_session(LINKS, 10) as session:
+            attempt = Attempt(Request("v", "read", "gold", timedelta(seconds=5)), 0, "n", timedelta(seconds=5))
+            attempt.revoke()
+            outcome, _ = await ChunkClient(session, Directory()).send(attempt, Message("GET", "/x"))
+        assert outcome.status is Status.TIMEOUT
+
+    play(story())
+
+
+def test_load_reports_are_read_as_far_as_they_can_be():
+    assert read_load("TEXT inflight=7, queue=2, util=0.61") == {"inflight": 7, "queue": 2, "util": 0.61}
+    assert read_load("TEXT queue=nan, util=, odd=3, qps=1e999,=") == {}
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,229 @@
+"""The platform's protocol, spoken to the real program."""
+
+import asyncio
+import time
+
+import aiohttp
+import pytest
+
+from .world import KEY, VOLUME, World, ask_headers, free_port, play, until
+
+BODY = bytes(range(256)) * 256  # 64 KiB
+
+
+def test_a_read_and_a_write_pass_through_unchanged():
+    async def story():
+        async with World() as world:
+            status, _, _ = await world.ask("w1", "PUT", BODY, shard=1)
+            assert status == 200 and world.nodes[1].stored[f"/api/{VOLUME}/{KEY}"] == BODY
+            status, _, body = await world.ask("r1", shard=1)
+            assert (status, body) == (200, BODY)
+            method, path, headers, _ = world.nodes[1].seen[-1]
+            assert (method, path, headers["x-trace-id"]) == ("GET", f"/api/{VOLUME}/{KEY}", "r1")
+            assert 0 < int(headers["x-expires-in-ms"]) <= 2000
+            assert not world.nodes[0].seen
+            await world.call("GET", f"/api/{VOLUME}/{KEY}?a=%2F&b", headers=ask_headers("q1", 1))
+            assert world.nodes[1].seen[-1][1] == f"/api/{VOLUME}/{KEY}?a=%2F&b"
+
+    play(story())
+
+
+@pytest.mark.parametrize(("acts", "status", "attempts"), [
+    (["reset", "any"], 200, 2),  # may have run; the class is safe to repeat
+    (["half", "any"], 200, 2),  # half a body is no answer
+    (["full", "any"], 200, 2),
+    (["error", "any"], 200, 2),
+    (["close", "reset", "any"], 200, 3),
+    (["reset", "reset", "reset", "any"], 503, 3),  # the most attempts, then refused
+    (["error", "full", "half", "any"], 503, 3),
+])
+def test_each_outcome_leads_to_one_final_answer(acts, status, attempts):
+    async def story():
+        async with World(1) as world:
+            node = world.nodes[0]
+            node.stored[f"/api/{VOLUME}/{KEY}"] = BODY
+            if acts[0] == "close":
+                assert (await world.ask("t0"))[0] == 200
+                node.seen.clear()
+                node.script.extend(["reset", "error", "any"])
+            else:
+                node.script.extend(acts)
+            got, _, body = await world.ask("t1")
+            assert got == status and (body == BODY) == (status == 200)
+            assert len(node.seen) == attempts and node.copies == 0
+
+    play(story())
+
+
+def test_a_kept_connection_that_breaks_is_one_attempt_and_no_hidden_copy():
+    """aiohttp resends a GET or PUT by itself there: the chunk server would see more than the core has sent."""
+    async def story():
+        async with World(1, Limits__MaxAttempts=1) as world:
+            node = world.nodes[0]
+            node.always = "any"
+            assert (await world.ask("t0"))[0] == 200
+            node.script.append("reset")  # on the connection that t0 left
+            status, _, _ = await world.ask("t1")
+            assert status == 503
+            assert [seen[2]["x-trace-id"] for seen in node.seen] == ["t0", "t1"] and node.connections == 1
+
+    play(story())
+
+
+@pytest.mark.parametrize(("act", "wanted"), [("reset", 502), ("full", 200), ("error", 502)])
+def test_of_an_unsafe_class_only_what_never_ran_goes_again(act, wanted):
+    async def story():
+        async with World(1) as world:
+            node = world.nodes[0]
+            node.script.append(act)
+            status, _, _ = await world.ask("w1", "PUT", BODY, cls="once")
+            assert status == wanted and len(node.seen) == (2 if wanted == 200 else 1)
+
+    play(story())
+
+
+def test_what_cannot_be_reached_is_refused_and_one_that_stalls_is_given_up():
+    async def story():
+        async with World(2) as world:
+            world.nodes[1].always = "stall"
+            entry = world.entry(world.nodes[0]) | {"host_port": f"127.0.0.1:{free_port()}"}
+            world.revision += 1
+            world.changed.append((world.revision, entry))
+            world.news.set()
+            await until(lambda: len(world.calls) >= 2)
+            assert (await world.ask("t1", cls="brief", left="900"))[0] == 503
+            began = time.monotonic()
+            assert (await world.ask("t2", shard=1, cls="brief", left="900"))[0] == 503
+            # at its aim of 300 ms, when the module gives up, and not held towards the client's 900 ms
+            assert time.monotonic() - began < 0.85
+            await until(lambda: not any(world.nodes[1].out.values()))  # abandoned: its connection is closed
+
+    play(story())
+
+
+@pytest.mark.parametrize("changes", [
+    {"X-Qos": "unheard-of"}, {"X-Plan": "unheard-of"}, {"X-IO": "units=1,shard=0"}, {"X-Second-Try": "1"},
+])
+def test_odd_but_readable_requests_are_served(changes):
+    async def story():
+        async with World(1) as world:
+            world.nodes[0].always = "any"
+            assert (await world.ask(**changes))[0] == 200
+
+    play(story())
+
+
+@pytest.mark.parametrize("changes", [
+    {"X-Expires-In-Ms": "soon"}, {"X-Expires-In-Ms": "nan"}, {"X-Expires-In-Ms": ""}, {"X-Trace-Id": ""},
+    {"X-Qos": ""}, {"X-IO": "units=lots"}, {"X-IO": "units=-1"}, {"X-IO": "shard=inf"}, {"X-IO": "hosts=1e400"},
+])
+def test_garbage_gets_400_and_the_front_goes_on(changes):
+    async def story():
+        async with World(1) as world:
+            world.nodes[0].always = "any"
+            assert (await world.ask(**changes))[0] == 400
+            assert (await world.call("GET", "/nowhere", headers=ask_headers("t", 0)))[0] == 400
+            assert not world.nodes[0].seen
+            assert (await world.ask("t2"))[0] == 200
+
+    play(story())
+
+
+@pytest.mark.parametrize("raw", [b"\x00\xff\xfe\r\n\r\n", b"GET\r\n\r\n", b"GET / HTTP/9.9\r\n\r\n",
+                                 b"PUT /x HTTP/1.1\r\nContent-Length: -4\r\n\r\n", b"A" * 20000 + b"\r\n\r\n"])
+def test_what_is_not_http_gets_400(raw):
+    async def story():
+        async with World(1) as world:
+            reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            writer.write(raw)
+            assert b" 400 " in await asyncio.wait_for(reader.readline(), 5)
+            writer.close()
+            assert (await world.call("GET", "/up"))[0] == 200
+
+    play(story())
+
+
+def test_a_client_that_leaves_frees_its_attempt():
+    async def story():
+        async with World(1) as world:
+            node = world.nodes[0]
+            node.script.append("stall")
+            with pytest.raises(asyncio.TimeoutError):
+                await asyncio.wait_for(world.ask("t1"), 0.3)
+            await until(lambda: node.seen and not any(node.out.values()))
+            node.always = "any"
+            assert (await world.ask("t2"))[0] == 200
+            assert node.copies == 0
+
+    play(story())
+
+
+def test_a_drained_node_gets_nothing_new_and_a_failed_watch_is_taken_up_again():
+    async def story():
+        world = World(2)
+        world.failing = 2
+        async with world:
+            world.nodes[0].always = "any"
+            assert (await world.ask("t1"))[0] == 200
+            await until(lambda: any(after == "0" for _, after in world.calls[2:]))
+            world.tell(world.nodes[0], "draining")
+            await until(lambda: world.calls[-1][1] == "1")
+            seen = len(world.nodes[0].seen)
+            assert (await world.ask("t2", cls="brief", left="900"))[0] == 503
+            assert len(world.nodes[0].seen) == seen
+            world.tell(world.nodes[0], "up")
+            await until(lambda: world.calls[-1][1] == "2")
+            assert (await world.ask("t3"))[0] == 200
+
+    play(story())
+
+
+def test_the_watch_goes_on_from_revision_0_and_does_not_loop():
+    """Revision 0 was read as none: the whole list was asked for in a loop until discovery refused all fronts."""
+    async def story():
+        async with World(1) as world:
+            await asyncio.sleep(0.5)
+            assert [after for _, after in world.calls] == ["0"]
+            world.tell(world.nodes[0], "up")
+            await until(lambda: len(world.calls) == 2)
+            assert world.calls[-1][1] == "1"
+
+    play(story())
+
+
+def test_sigterm_answers_what_is_held_and_what_still_arrives_then_exits_0():
+    async def story():
+        async with World(1) as world:
+            node = world.nodes[0]
+            node.script.append("stall")
+            node.always = "any"
+            slow = asyncio.create_task(world.ask("t1", cls="brief", left="900"))
+            await until(lambda: node.seen)
+            world.stop()
+            await until(lambda: "now=draining" in world.log)
+            async with aiohttp.ClientSession() as late:  # over a new connection
+                url = f"http://127.0.0.1:{world.port}/api/{VOLUME}/{KEY}"
+                async with late.get(url, headers=ask_headers("t2", 0)) as answer:
+                    assert answer.status == 200 and answer.headers["Connection"] == "close"
+                    assert await answer.read()
+                async with late.get(f"http://127.0.0.1:{world.port}/up") as answer:
+                    assert answer.status == 503
+            assert (await slow)[0] in (200, 503)
+            assert await asyncio.wait_for(world.process.wait(), 20) == 0
+            assert "now=stopped" in world.log
+
+    play(story())
+
+
+@pytest.mark.parametrize("text", ["{", "{}", '{"settings": {}, "listen": "nowhere", "discovery": "127.0.0.1:1"}'])
+def test_a_configuration_that_cannot_be_read_stops_the_start(tmp_path, text):
+    import os
+    import subprocess
+    import sys
+
+    path = tmp_path / "config.json"
+    path.write_text(text)
+    env = {k: v for k, v in os.environ.items() if not k.startswith("BALANCER_")} | {"BALANCER_CONFIG": str(path)}
+    done = subprocess.run([sys.executable, "-m", "ochrespan"], env=env, capture_output=True, text=True,
+                          timeout=60, check=False)
+    assert done.returncode == 2 and 'msg="cannot start"' in done.stderr
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,251 @@
+"""The real program as a process, between a client and stand-ins for chunk servers and discovery."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections import deque
+from collections.abc import Coroutine
+from contextlib import suppress
+from pathlib import Path
+
+import aiohttp
+from aiohttp import web
+from yarl import URL
+
+VOLUME, KEY = "00000003b4d60021", "7f3a9c21e0b4d655"
+MS = 1_000_000
+
+
+def settings(nodes: int, **changes) -> dict:
+    def cls(name, aim_ms, deadline_ms):
+        return {"Name": name, "ObjectiveNs": aim_ms * MS, "DeadlineNs": deadline_ms * MS, "Effect": "free",
+                "Group": "all", "LateShare": 0.1, "Value": 1.0, "Sequential": False, "WindowNs": 0}
+
+    told = {
+        "Classes": [cls("read", 1500, 3000), cls("write", 1500, 3000), cls("brief", 300, 900)],
+        "Contracts": [{"Name": "gold", "Nominal": 100.0, "Weight": 2.0, "Price": 1.0, "Reserve": 50.0,
+                       "Limit": 0.0, "MostAtOnce": 0.0}],
+        "Balancers": 2, "Rank": 0, "Discovery": "on_request", "StepNs": 2 * MS, "Novel": {"Thing": [1, 2]},
+        "Extra": {"MostUnits": 8, "UsualUnits": 2.0, "SlotsTotal": nodes},
+        "Limits": {"Cancel": True, "ConnectTimeoutNs": 250 * MS, "KeepaliveNs": 15000 * MS, "MaxAttempts": 3,
+                   "MaxRetryAfterNs": 500 * MS, "RetryAfter": True, "SecondCopies": False},
+        "Obligations": {"AskWithinNs": 1000 * MS, "StopSendingWithinNs": 2000 * MS},
+    }
+    for path, value in changes.items():
+        *at, name = path.split("__")
+        spot = told
+        for step in at:
+            spot = spot[step]
+        spot[name] = value
+    return told
+
+
+class Node:
+    """A chunk server that keeps what is written; `script` says what it does to coming requests instead."""
+
+    def __init__(self, shard: int) -> None:
+        self.id, self.shard, self.phase, self.address = f"s-{shard}", shard, "up", ""
+        self.script: deque[str] = deque()
+        self.always = ""
+        self.stored: dict[str, bytes] = {}
+        self.seen: list[tuple[str, str, dict[str, str], bytes]] = []
+        self.out: dict[str, int] = {}  # attempts on open connections, by trace id
+        self.copies = 0  # times that a second attempt came while one was out
+        self.connections = 0
+        self.released = asyncio.Event()
+
+    async def start(self) -> None:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while await self._one(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        method, path, _ = head[0].split(" ")
+        headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in head[1:] if line)}
+        if self.script and self.script[0] == "cut":
+            self.script.popleft()
+            writer.transport.abort()  # with most of the body unread
+            return False
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        trace = headers.get("x-trace-id", "")
+        self.seen.append((method, path, headers, body))
+        self.copies += self.out.get(trace, 0) > 0
+        self.out[trace] = self.out.get(trace, 0) + 1
+        try:
+            return await self._act(method, path, body, reader, writer)
+        finally:
+            self.out[trace] -= 1
+
+    async def _act(self, method, path, body, reader, writer) -> bool:
+        act = self.script.popleft() if self.script else self.always
+        if act == "reset":
+            writer.transport.abort()
+            return False
+        if act == "stall":
+            gone = asyncio.ensure_future(reader.read(1))
+            held = asyncio.ensure_future(self.released.wait())
+            await asyncio.wait((gone, held), return_when=asyncio.FIRST_COMPLETED)
+            held.cancel()
+            gone.cancel()
+            return False
+        status, answer = 200, b""
+        if act == "full" or (act == "" and self.phase == "draining" and method == "PUT"):
+            status = 503
+        elif act == "error":
+            status = 500
+        elif method == "PUT":
+            self.stored[path] = body
+        elif path in self.stored or act == "any":
+            answer = self.stored.get(path, b"body of " + path.encode())
+        else:
+            status = 404
+        if act == "corrupt":
+            answer = answer[:-1] + bytes([answer[-1] ^ 1])
+        lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(answer)}"]
+        lines += ["X-Never-Ran: 1"] if status == 503 else []
+        lines += ["Endpoint-Load-Metrics: TEXT inflight=1, queue=2, util=0.5, odd=nan"]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + answer[:len(answer) // 2])
+        await writer.drain()
+        if act == "half":
+            writer.transport.abort()
+            return False
+        writer.write(answer[len(answer) // 2:])
+        await writer.drain()
+        return act != "close"
+
+
+class World:
+    def __init__(self, nodes: int = 2, operator: str = "", rank: int = 0, shared: World | None = None, **changes):
+        self.nodes = shared.nodes if shared else [Node(i) for i in range(nodes)]
+        self.settings = settings(len(self.nodes), Rank=rank, **changes)
+        self.operator, self.shared = operator, shared
+        self.revision, self.failing, self.calls = 0, 0, []
+        self.changed: list[tuple[int, dict]] = []
+        self.news = asyncio.Event()
+        self.log = ""
+
+    def entry(self, node: Node) -> dict:
+        return {"id": node.id, "host_port": node.address, "locality": "a", "flavor": "m", "cell": node.shard,
+                "phase": node.phase, "size": 1.0, "up_since_ms": 0}
+
+    def tell(self, node: Node, phase: str) -> None:
+        node.phase = phase
+        self.revision += 1
+        self.changed.append((self.revision, self.entry(node)))
+        self.news.set()
+        self.news = asyncio.Event()
+
+    async def _discovery(self, request: web.BaseRequest) -> web.Response:
+        after = request.query.get("after")
+        self.calls.append((time.monotonic(), after))
+        if self.failing:
+            self.failing -= 1
+            return web.Response(status=503)
+        if after is not None and int(after) >= self.revision:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.news.wait(), int(request.query["wait_ms"]) / 1000)
+        members = [entry for at, entry in self.changed if after is not None and at > int(after)]
+        if after is None:
+            members = [self.entry(node) for node in self.nodes]
+        return web.json_response({"revision": self.revision, "complete": after is None, "members": members})
+
+    async def __aenter__(self) -> World:
+        self.folder = tempfile.TemporaryDirectory()
+        if self.shared is None:
+            for node in self.nodes:
+                await node.start()
+        discovery = await asyncio.get_running_loop().create_server(
+            web.Server(self._discovery, access_log=None), "127.0.0.1", 0)
+        self.port, self.object_port = free_port(), free_port()
+        known = {"revision": 0, "complete": True, "members": [self.entry(node) for node in self.nodes]}
+        config = Path(self.folder.name, "config.json")
+        config.write_text(json.dumps({
+            "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964", "known": known,
+            "discovery": "127.0.0.1:%d" % discovery.sockets[0].getsockname()[1],
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": self.settings}))
+        command = [sys.executable, "-m", "ochrespan"]
+        if self.operator:
+            path = Path(self.folder.name, "operator.toml")
+            path.write_text(self.operator.replace("PORT", str(self.object_port)))
+            command += ["--operator", str(path)]
+        env = {k: v for k, v in os.environ.items() if not k.startswith("BALANCER_")}
+        env |= {"BALANCER_CONFIG": str(config), "http_proxy": "http://127.0.0.1:9"}
+        self.process = await asyncio.create_subprocess_exec(*command, env=env, stderr=asyncio.subprocess.PIPE)
+        self.reading = asyncio.create_task(self._read_log())
+        self.session = aiohttp.ClientSession(auto_decompress=False)
+        for _ in range(200):
+            try:
+                if (await self.call("GET", "/up"))[0] == 200:
+                    return self
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(0.05)
+        raise AssertionError("the front did not come up: " + self.log)
+
+    async def _read_log(self) -> None:
+        async for line in self.process.stderr:
+            self.log += line.decode()
+
+    async def __aexit__(self, *_) -> None:
+        await self.session.close()
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        await self.reading
+        self.folder.cleanup()
+
+    def stop(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+    async def call(self, method: str, path: str, body: bytes = b"", headers: dict | None = None, port: int = 0):
+        url = URL(f"http://127.0.0.1:{port or self.port}{path}", encoded=True)
+        async with self.session.request(method, url, data=body or None, headers=headers) as answer:
+            return answer.status, answer.headers, await answer.read()
+
+    async def ask(self, trace: str = "t1", method: str = "GET", body: bytes = b"", shard: int = 0, **changes):
+        """A request in the platform's form."""
+        return await self.call(method, f"/api/{VOLUME}/{KEY}", body, ask_headers(trace, shard, **changes))
+
+    async def objects(self, method: str, path: str, body: bytes = b"", **headers):
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        return await self.call(method, path, body, names, self.object_port)
+
+
+def ask_headers(trace: str, shard: int, left: str = "2000", cls: str = "read", **more) -> dict:
+    return {"X-Trace-Id": trace, "X-Qos": cls, "X-Plan": "gold", "X-Expires-In-Ms": left,
+            "X-IO": f"units=2,shard={shard},hosts=2"} | more
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def play(story: Coroutine) -> None:
+    asyncio.run(asyncio.wait_for(story, 60))
+
+
+async def until(condition, seconds: float = 10.0) -> None:
+    """Waits for something that must come; how long it takes is not judged."""
+    ends = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < ends, "it did not come"
+        await asyncio.sleep(0.01)
