--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -177,9 +177,17 @@
         """Guard 2: refuse only what is harmless to try again, else fail."""
         harmless = (job.ran is None and not job.out) or job.cls.effect is Effect.SAFE or (
             job.cls.effect is Effect.KEYED and job.cls.group is Group.ALL)
-        self.acts.append(api.Refuse(job.req.id) if harmless else api.Fail(job.req.id))
+        self.acts.append(api.Refuse(job.req.id, self._pause(job)) if harmless else api.Fail(job.req.id))
         self._close(job)
 
+    def _pause(self, job: Job) -> float:
+        """When to come back: once the shortest queue for it has passed, spread so as not to flock."""
+        if not self.set.advises_pause:
+            return 0.0
+        nodes = self.usable if job.req.shard == ANY else self.by_shard.get(job.req.shard, ())
+        wait = min((self._wait(node) for node in nodes), default=inf)
+        return min(self.set.max_pause, max(wait, self.patience)) * (0.5 + self.random.random() / 2)
+
     def _outcome(self, got: api.Outcome) -> None:
         node, job = self.nodes.get(got.node), self.jobs.get(got.request_id)
         sent_at = job.out.pop(got.attempt, None) if job else None
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,111 @@
+"""Graphite and collectd, met by their protocols: stand-ins parse what arrives."""
+
+import asyncio
+import re
+import struct
+
+from .world import World, free_port, play, until
+
+LINE = re.compile(r"plant\.n0\.([A-Za-z0-9_-]+)\.([A-Za-z0-9_-]+) (\S+) (\d+)\n")
+
+
+def sinks(graphite: int, collectd: int) -> str:
+    return f"""
+[graphite]
+address = "127.0.0.1:{graphite}"
+every_s = 0.1
+prefix = "plant"
+
+[collectd]
+address = "127.0.0.1:{collectd}"
+every_s = 0.1
+prefix = "plant"
+"""
+
+
+def parse_packet(packet: bytes) -> list[dict]:
+    """The values of one collectd packet, each with the parts that stood before it."""
+    state, found, at = {}, [], 0
+    while at < len(packet):
+        kind, length = struct.unpack_from("!HH", packet, at)
+        body = packet[at + 4:at + length]
+        assert length >= 4 and len(body) == length - 4
+        if kind in (0, 2, 3, 4, 5):
+            assert body.endswith(b"\0") and len(body) <= 64
+            state[kind] = body[:-1].decode()
+        elif kind in (8, 9):
+            state[kind] = struct.unpack("!Q", body)[0] / (1 << 30)
+        else:
+            assert kind == 6
+            number, form = struct.unpack_from("!HB", body)
+            assert number == 1 and len(body) == 11
+            value = struct.unpack("<d" if form == 1 else "!q", body[3:])[0]
+            assert state[4] == {1: "gauge", 2: "derive"}[form]
+            found.append(dict(state) | {"value": value})
+        at += length
+    return found
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    def __init__(self) -> None:
+        self.values: dict[tuple[str, str], dict] = {}
+
+    def datagram_received(self, data, _) -> None:
+        assert len(data) <= 1452
+        for value in parse_packet(data):
+            self.values[value[3], value[5]] = value
+
+
+def test_both_exporters_tell_what_happened():
+    async def story():
+        lines: dict[tuple[str, str], float] = {}
+        stamps: list[int] = []
+
+        async def serve(reader, _):
+            while line := (await reader.readline()).decode():
+                found = LINE.fullmatch(line)
+                assert found, line
+                lines[found[1], found[2]] = float(found[3])
+                stamps.append(int(found[4]))
+
+        graphite = await asyncio.start_server(serve, "127.0.0.1", 0)
+        transport, datagrams = await asyncio.get_running_loop().create_datagram_endpoint(
+            Datagrams, local_addr=("127.0.0.1", 0))
+        ports = graphite.sockets[0].getsockname()[1], transport.get_extra_info("sockname")[1]
+        async with World(1, sinks(*ports)) as world:
+            world.nodes[0].script.extend(["any", "full", "any", "error", "error", "error"])
+            for name in ("t1", "t2", "t3"):
+                await world.ask(name)
+            await world.ask("t4", **{"X-Plan": "made.up"}, left="1")
+            wanted = {("gold-read", "taken"): 3, ("gold-read", "served"): 2, ("gold-read", "refused"): 1,
+                      ("gold-read", "units"): 4, ("other-read", "taken"): 1, ("outcomes", "full"): 1,
+                      ("outcomes", "error"): 3, ("front", "held"): 0}
+            await until(lambda: all(lines.get(k) == v for k, v in wanted.items()))
+            await until(lambda: all(datagrams.values.get(k, {}).get("value") == v for k, v in wanted.items()))
+            value = datagrams.values["gold-read", "taken"]
+            assert (value[0], value[2], round(value[9], 3)) == ("n0", "plant", 0.1)
+            assert abs(value[8] - stamps[-1]) < 60
+
+    play(story())
+
+
+def test_dead_sinks_do_not_delay_serving_and_are_found_again():
+    async def story():
+        async def swallow(reader, writer):
+            await asyncio.Event().wait()  # takes the connection and never reads
+
+        dead = await asyncio.start_server(swallow, "127.0.0.1", 0)
+        dead_port, later = dead.sockets[0].getsockname()[1], free_port()
+        async with World(1, sinks(dead_port, free_port())) as world, World(
+                operator=sinks(later, free_port()), rank=1, shared=world) as other:
+            world.nodes[0].always = "any"
+            for number in range(20):
+                assert (await world.ask(f"a{number}"))[0] == 200
+                assert (await other.ask(f"b{number}"))[0] == 200
+            await until(lambda: "sink fails" in other.log)
+            came = asyncio.Event()
+            server = await asyncio.start_server(lambda *_: came.set(), "127.0.0.1", later)
+            await asyncio.wait_for(came.wait(), 10)
+            server.close()
+
+    play(story())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -91,7 +91,8 @@
             world.changed.append((world.revision, entry))
             world.news.set()
             await until(lambda: len(world.calls) >= 2)
-            assert (await world.ask("t1", cls="brief", left="900"))[0] == 503
+            status, headers, _ = await world.ask("t1", cls="brief", left="900")
+            assert status == 503 and 0 < float(headers["Retry-After"]) <= 0.5
             began = time.monotonic()
             assert (await world.ask("t2", shard=1, cls="brief", left="900"))[0] == 503
             # at its aim of 300 ms, when the module gives up, and not held towards the client's 900 ms
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -419,3 +419,11 @@
     for name in names:
         head.answer(name, Status.TIMEOUT)
     assert head.head.nodes["n0"].fails == 1
+
+
+def test_a_refusal_says_when_to_come_back_where_the_settings_allow_it():
+    for advises, least, most in ((True, 0.1, 0.4), (False, 0.0, 0.0)):
+        head = Head(nodes=0, advises_pause=advises, max_pause=0.4)
+        name = head.take()
+        head.wait(4)
+        assert least <= head.finals[name].pause <= most
