Keep client connections under the descriptors; give a body too long or broken 400

Seen: with 270 idle client connections against 200 descriptors a probe counted all of them open and one request of 60 without an answer. Cause: aiohttp's `RequestHandler.close` ends an idle connection's task but not its socket, so what then arrives there is swallowed. net/listener.py closes connections that are between requests and have been quiet for a second, and no younger ones. A body over 64 KiB, or one that is not chunked as it says, was a 500; it is a 400 now (net/platform.py read_body).

--- a/ochrespan/__main__.py
+++ b/ochrespan/__main__.py
@@ -12,14 +12,13 @@
 from datetime import timedelta
 from pathlib import Path
 
-from aiohttp import web
-
 from . import config, logs, operator
 from .broker import Broker
 from .lifecycle import Lifecycle, Phase
 from .metrics.exporters import Collectd, Graphite
 from .net.chunks import ChunkClient, open_session
 from .net.discovery import Directory, Watch
+from .net.listener import RESERVE, Listener
 from .net.platform import PlatformFront
 from .objects.front import ObjectFront
 from .objects.store import ChunkStore
@@ -29,14 +28,10 @@
 
 # after SIGTERM new connections come for up to 0.4 s, and all that arrives within 0.7 s is answered
 ACCEPTS = timedelta(seconds=0.8)
+GRACE = timedelta(seconds=1)
 LOOK = timedelta(seconds=0.02)
 
 
-async def listen(handler: web.Server, address: tuple[str, int], stack: AsyncExitStack) -> asyncio.Server:
-    stack.push_async_callback(handler.shutdown, 1.0)
-    return await asyncio.get_running_loop().create_server(handler, *address, backlog=1024, reuse_address=True)
-
-
 def object_front(
     told: config.Config, objects: operator.Objects, broker: Broker, client: ChunkClient, lifecycle: Lifecycle
 ) -> ObjectFront:
@@ -55,7 +50,8 @@
     broker = Broker(told.settings)
     directory = Directory()
     async with AsyncExitStack() as stack:
-        session = await stack.enter_async_context(open_session(told.links, told.sockets // 2))
+        outgoing = told.sockets // 2
+        session = await stack.enter_async_context(open_session(told.links, outgoing))
         watch = Watch(broker, directory, session, told.discovery)
         watch.known(told.known)
         client = ChunkClient(session, directory)
@@ -67,16 +63,21 @@
         jobs += [Graphite(extra.graphite, told.name, broker).run()] if extra.graphite else []
         jobs += [Collectd(extra.collectd, told.name, broker).run()] if extra.collectd else []
         listeners = []
+        most = (told.sockets - outgoing - RESERVE) // len(fronts)
         for handle, address in fronts:
-            server = web.Server(handle, handler_cancellation=True, access_log=None, auto_decompress=False)
-            listeners.append(await listen(server, address, stack))
+            listeners.append(Listener(handle, most))
+            await listeners[-1].open(address)
+            stack.push_async_callback(listeners[-1].shutdown, 1.0)
         tasks = [asyncio.create_task(job) for job in jobs]
         lifecycle.advance(Phase.READY)
         await lifecycle.reached(Phase.DRAINING)
         await asyncio.sleep(ACCEPTS.total_seconds())
         for listener in listeners:
-            listener.close()
-        while lifecycle.working:
+            listener.stop_accepting()
+        # every request of the core ends by its deadline; a client that does not read its answer may not hold us
+        longest = max((cls.deadline for cls in told.settings.classes.values()), default=0.0)
+        ends = loop.time() + longest + GRACE.total_seconds()
+        while lifecycle.working and loop.time() < ends:
             await asyncio.sleep(LOOK.total_seconds())
         for task in tasks:
             task.cancel()
--- a/ochrespan/net/platform.py
+++ b/ochrespan/net/platform.py
@@ -59,6 +59,23 @@
     )
 
 
+async def read_body(request: web.BaseRequest) -> bytes:
+    if not request.body_exists:
+        return b""
+    if (request.content_length or 0) > MOST_BODY:
+        raise Malformed("the body is too long")
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        request.writer.output_size = 0
+    try:
+        body = await request.read()
+    except (web.HTTPRequestEntityTooLarge, web.RequestPayloadError) as why:
+        raise Malformed("the body is too long or cannot be read") from why
+    if len(body) > MOST_BODY:
+        raise Malformed("the body is too long")
+    return body
+
+
 def retry_after(pause: timedelta) -> str:
     return f"{pause.total_seconds():.3f}"
 
@@ -74,6 +91,7 @@
                 response = await self._answer(request)
             except Malformed as why:
                 response = web.Response(status=400, text=f"{why}\n")
+                response.force_close()  # what follows on this connection may be the rest of the garbage
             except asyncio.CancelledError:
                 raise
             except Exception:
@@ -87,9 +105,7 @@
         if request.raw_path == "/up":
             return web.Response(status=200 if self._lifecycle.ready else 503)
         taken = read_request(request)
-        body = await request.read() if request.body_exists else b""
-        if len(body) > MOST_BODY:
-            raise Malformed("the body is too long")
+        body = await read_body(request)
         headers = {"X-Trace-Id": request.headers["X-Trace-Id"]}
         message = Message(request.method, request.raw_path, body, headers)
         if body:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from pathlib import Path
 
 import aiohttp
 import pytest
@@ -144,6 +145,43 @@
     play(story())
 
 
+@pytest.mark.parametrize(("size", "headers"), [
+    (70_000, {}), (3 << 20, {}), (16, {"Transfer-Encoding": "chunked"}),
+])
+def test_a_body_that_is_too_long_or_broken_gets_400(size, headers):
+    async def story():
+        body = b"z" * size + b"\r\n"
+        async with World(1) as world:
+            reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            headers_ = ask_headers("w1", 0) | (headers or {"Content-Length": str(len(body))})
+            lines = [f"PUT /api/{VOLUME}/{KEY} HTTP/1.1", "Host: x"] + [f"{k}: {v}" for k, v in headers_.items()]
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            assert b" 400 " in await asyncio.wait_for(reader.readline(), 10)
+            writer.close()
+            assert not world.nodes[0].seen
+
+    play(story())
+
+
+def test_more_connections_than_descriptors_lose_no_request():
+    async def story():
+        world = World(1)
+        world.sockets = 200  # of which the front keeps 36 for clients
+        async with world:
+            world.nodes[0].always = "any"
+            idle = []
+            for _ in range(3):
+                idle += [await asyncio.open_connection("127.0.0.1", world.port) for _ in range(90)]
+                await asyncio.sleep(1.1)  # no connection is let go while it is young
+            asks = [world.ask(f"t{number}") for number in range(60)]
+            assert {status for status, _, _ in await asyncio.gather(*asks)} == {200}
+            assert len(list(Path(f"/proc/{world.process.pid}/fd").iterdir())) < 200
+            for _, writer in idle:
+                writer.close()
+
+    play(story())
+
+
 def test_a_client_that_leaves_frees_its_attempt():
     async def story():
         async with World(1) as world:
--- a/tests/world.py
+++ b/tests/world.py
@@ -145,7 +145,7 @@
         self.revision, self.failing, self.calls = 0, 0, []
         self.changed: list[tuple[int, dict]] = []
         self.news = asyncio.Event()
-        self.log = ""
+        self.log, self.sockets = "", 1024
 
     def entry(self, node: Node) -> dict:
         return {"id": node.id, "host_port": node.address, "locality": "a", "flavor": "m", "cell": node.shard,
@@ -185,7 +185,7 @@
         config.write_text(json.dumps({
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964", "known": known,
             "discovery": "127.0.0.1:%d" % discovery.sockets[0].getsockname()[1],
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": self.settings}))
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets}, "settings": self.settings}))
         command = [sys.executable, "-m", "ochrespan"]
         if self.operator:
             path = Path(self.folder.name, "operator.toml")
