--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -217,6 +217,24 @@
     play(story())
 
 
+@pytest.mark.parametrize(("age_s", "wanted"), [(3600, 200), (0, 503)])
+def test_starts_are_told_in_unix_time_and_so_is_the_modules_clock(age_s, wanted):
+    """On the loop's clock, which begins anywhere, a node that is long warm would look cold, or a cold one warm."""
+    async def story():
+        world = World(1, Extra__YoungLimit=0.001, Obligations__StartCapacity=0.5, Obligations__WarmUpNs=60 * 10**9,
+                      Obligations__OverloadForNs=10**9)
+        world.nodes[0].always = "any"
+        world.nodes[0].up_since_ms = int((time.time() - age_s) * 1000)
+        async with world:
+            await until(lambda: world.calls)
+            world.tell(world.nodes[0], "up")
+            await until(lambda: world.calls[-1][1] == "1")
+            for number in range(3):
+                assert (await world.ask(f"t{number}", cls="brief", left="900"))[0] == wanted
+
+    play(story())
+
+
 def test_the_watch_goes_on_from_revision_0_and_does_not_loop():
     """Revision 0 was read as none: the whole list was asked for in a loop until discovery refused all fronts."""
     async def story():
--- a/tests/world.py
+++ b/tests/world.py
@@ -54,7 +54,7 @@
         self.id, self.shard, self.phase, self.address = f"s-{shard}", shard, "up", ""
         self.script: deque[str] = deque()
         self.always = ""
-        self.delay = 0.0
+        self.delay, self.up_since_ms = 0.0, 0
         self.stored: dict[str, bytes] = {}
         self.seen: list[tuple[str, str, dict[str, str], bytes]] = []
         self.out: dict[str, int] = {}  # attempts on open connections, by trace id
@@ -149,7 +149,7 @@
 
     def entry(self, node: Node) -> dict:
         return {"id": node.id, "host_port": node.address, "locality": "a", "flavor": "m", "cell": node.shard,
-                "phase": node.phase, "size": 1.0, "up_since_ms": 0}
+                "phase": node.phase, "size": 1.0, "up_since_ms": node.up_since_ms}
 
     def tell(self, node: Node, phase: str) -> None:
         node.phase = phase
