Read the configuration anew on SIGHUP and move the watch to the new discovery

Cause: __main__.py had a handler for SIGTERM and SIGINT alone; Watch kept the address of its start. Change: Watch.move breaks off the open call and asks the new address for the whole list; a bad file changes nothing.

--- a/ochrespan/__main__.py
+++ b/ochrespan/__main__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import dataclasses
 import logging
 import os
 import signal
@@ -41,19 +42,32 @@
     return ObjectFront(objects, store, uploads, lifecycle)
 
 
+def reload(told: config.Config, watch: Watch) -> None:
+    """SIGHUP: goes on with what the file says now, or as before if it cannot be read."""
+    try:
+        new, fixed = config.reload(os.environ, told)
+    except config.BadConfig as why:
+        log.error("the old configuration stays", extra={"why": str(why)})
+        return
+    told_to = {"discovery": new.discovery, "only_by_restart": ",".join(fixed) or "-"}
+    log.info("configuration read anew", extra=told_to)
+    watch.move(new.discovery)
+
+
 async def serve(told: config.Config, extra: operator.Operator) -> None:
     lifecycle = Lifecycle()
     loop = asyncio.get_running_loop()
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, lifecycle.advance, Phase.DRAINING)
-    told.settings.plans |= extra.plans
-    broker = Broker(told.settings)
+    broker = Broker(dataclasses.replace(told.settings, plans=told.settings.plans | extra.plans))
     directory = Directory()
     async with AsyncExitStack() as stack:
         outgoing = told.sockets // 2
         session = await stack.enter_async_context(open_session(told.links, outgoing))
         watch = Watch(broker, directory, session, told.discovery)
         watch.known(told.known)
+        loop.add_signal_handler(signal.SIGHUP, reload, told, watch)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         client = ChunkClient(session, directory)
         fronts = [(PlatformFront(broker, client, lifecycle).handle, told.listen)]
         if extra.objects is not None:
@@ -90,6 +104,8 @@
     parser.add_argument("--operator", type=Path, help="the operator's file: object API, teams, exporters")
     chosen = parser.parse_args()
     logs.set_up()
+    # a reload may be asked for while the file is being read: it waits until it can be heard
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
         told = config.load(os.environ)
         extra = operator.load(chosen.operator, told.settings) if chosen.operator else operator.Operator()
--- a/ochrespan/config.py
+++ b/ochrespan/config.py
@@ -35,6 +35,7 @@
 
 
 def load(environ: Mapping[str, str]) -> Config:
+    """At the start: the variables go before what the file says."""
     path = environ.get("BALANCER_CONFIG")
     if not path:
         raise BadConfig("BALANCER_CONFIG is not set")
@@ -43,10 +44,12 @@
         settings = flatten(told["settings"])
         settings["InitSeed"] = str(int(str(told.get("seed", "0")), 16))
         listen = environ.get("BALANCER_LISTEN") or told["listen"]
+        discovery = environ.get("BALANCER_DISCOVERY") or told["discovery"]
+        split_address(discovery)
         return Config(
             name=environ.get("BALANCER_NAME") or told.get("name", "front"),
             listen=split_address(listen),
-            discovery=environ.get("BALANCER_DISCOVERY") or told["discovery"],
+            discovery=discovery,
             settings=read_settings(settings),
             links=read_links(settings),
             known=told.get("known"),
@@ -56,3 +59,14 @@
         raise
     except (OSError, LookupError, TypeError, ValueError, AttributeError) as why:
         raise BadConfig(f"{path}: {type(why).__name__}: {why}") from why
+
+
+def reload(environ: Mapping[str, str], old: Config) -> tuple[Config, list[str]]:
+    """The file anew, and the names of what it changes that only a restart takes over.
+
+    The variables are those of the start: for where discovery is, the new file's word goes before them.
+    """
+    new = load({name: value for name, value in environ.items() if name != "BALANCER_DISCOVERY"})
+    new.settings.seed = old.settings.seed  # is for one start
+    fixed = ("name", "listen", "settings", "links", "sockets")
+    return new, [name for name in fixed if getattr(new, name) != getattr(old, name)]
--- a/ochrespan/net/discovery.py
+++ b/ochrespan/net/discovery.py
@@ -81,8 +81,10 @@
         self, broker: Broker, directory: Directory, session: aiohttp.ClientSession, address: str
     ) -> None:
         self._broker, self._directory, self._session = broker, directory, session
-        self._url = f"http://{address}/discovery/hosts"
+        self._address = address
         self._wanted = asyncio.Event()
+        self._limit: asyncio.Timeout | None = None  # round the calls that are under way
+        self._moved = False
         broker.on_list_wanted(self._wanted.set)
 
     def known(self, listing: Any) -> None:
@@ -94,15 +96,35 @@
             nodes = []
         self._broker.listing(ListKind.CACHED, nodes)
 
+    def move(self, address: str) -> None:
+        """Goes on at another address, at once: the old one is about to close, and its news may be late.
+
+        Nodes and their connections stay. What the revisions of the new service count is not known, so its first
+        answer has to be the whole list.
+        """
+        if address == self._address:
+            return
+        self._address, self._directory.revision = address, None
+        self._wanted.set()
+        if self._limit is not None:
+            self._moved = True
+            self._limit.reschedule(asyncio.get_running_loop().time())
+
     async def run(self) -> None:
         while True:
             await self._wanted.wait()
             try:
-                await self._watch()
+                async with asyncio.timeout(None) as self._limit:
+                    await self._watch()
             except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as why:
                 log.info("watch ended", extra={"why": f"{type(why).__name__}: {why}"})
             except Exception:  # the list must go on whatever one answer did to us
                 log.exception("watch failed")
+            finally:
+                self._limit = None
+            if self._moved:  # no failure: the broker still waits for an answer
+                self._moved = False
+                continue
             self._wanted.clear()
             self._broker.listing(ListKind.FAILED)
 
@@ -125,8 +147,9 @@
         if self._directory.revision is not None:
             after, wait_ms = self._directory.revision, WAIT // timedelta(milliseconds=1)
             query = {"after": str(after), "wait_ms": str(wait_ms)}
-        timeout = aiohttp.ClientTimeout(total=(WAIT + GRACE).total_seconds())
-        call = self._session.get(self._url, params=query, timeout=timeout, allow_redirects=False)
+        timeout = aiohttp.ClientTimeout(total=(WAIT + GRACE).total_seconds(), sock_connect=GRACE.total_seconds())
+        url = f"http://{self._address}/discovery/hosts"
+        call = self._session.get(url, params=query, timeout=timeout, allow_redirects=False)
         async with call as answer:
             if answer.status != 200:
                 raise BadList(f"status {answer.status}")
--- a/tests/world.py
+++ b/tests/world.py
@@ -158,6 +158,15 @@
         self.news.set()
         self.news = asyncio.Event()
 
+    async def open_discovery(self, handler=None) -> str:
+        server = await asyncio.get_running_loop().create_server(
+            web.Server(handler or self._discovery, access_log=None), "127.0.0.1", 0)
+        return "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+
+    def reload(self, text: str | None = None, **changes) -> None:
+        self.config.write_text(json.dumps(self.told | changes) if text is None else text)
+        self.process.send_signal(signal.SIGHUP)
+
     async def _discovery(self, request: web.BaseRequest) -> web.Response:
         after = request.query.get("after")
         self.calls.append((time.monotonic(), after))
@@ -177,22 +186,21 @@
         if self.shared is None:
             for node in self.nodes:
                 await node.start()
-        discovery = await asyncio.get_running_loop().create_server(
-            web.Server(self._discovery, access_log=None), "127.0.0.1", 0)
         self.port, self.object_port = free_port(), free_port()
         known = {"revision": 0, "complete": True, "members": [self.entry(node) for node in self.nodes]}
-        config = Path(self.folder.name, "config.json")
-        config.write_text(json.dumps({
+        self.config, self.told = Path(self.folder.name, "config.json"), {
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964", "known": known,
-            "discovery": "127.0.0.1:%d" % discovery.sockets[0].getsockname()[1],
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets}, "settings": self.settings}))
+            "discovery": await self.open_discovery(),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets}, "settings": self.settings}
+        self.config.write_text(json.dumps(self.told))
         command = [sys.executable, "-m", "ochrespan"]
         if self.operator:
             path = Path(self.folder.name, "operator.toml")
             path.write_text(self.operator.replace("PORT", str(self.object_port)))
             command += ["--operator", str(path)]
         env = {k: v for k, v in os.environ.items() if not k.startswith("BALANCER_")}
-        env |= {"BALANCER_CONFIG": str(config), "http_proxy": "http://127.0.0.1:9"}
+        env |= {"BALANCER_CONFIG": str(self.config), "http_proxy": "http://127.0.0.1:9",
+                "BALANCER_DISCOVERY": self.told["discovery"]}
         self.process = await asyncio.create_subprocess_exec(*command, env=env, stderr=asyncio.subprocess.PIPE)
         self.reading = asyncio.create_task(self._read_log())
         self.session = aiohttp.ClientSession(auto_decompress=False)
