Read chunk servers' answers strictly and within bounds, each alone on its connection

Cause: ChunkClient read response.read() of any length (an answer said to hold 3 GB), and aiohttp's parser for answers forgives; what came between two requests stayed in its queue for the next one. Checked with a probe that printed them: 355 spoilt answers (odd status lines, ICY, two lengths, chunk sizes, heads without end, noise, 3 GB) and 142 good ones with a copy or noise right behind, in the same segment. Change: net/answers.py reads framing before aiohttp does; a spoilt answer counts as error (the node answers, it is no sign of load), its connection closes; the socket is looked at right before a request is written. Discovery has a session of its own. Tests fail without the handler and without the look. Ruled out: a length shorter than the body does not occur; what follows a whole answer is no part of it.

--- a/ochrespan/__main__.py
+++ b/ochrespan/__main__.py
@@ -17,6 +17,7 @@
 from .broker import Broker
 from .lifecycle import Lifecycle, Phase
 from .metrics.exporters import Collectd, Graphite
+from .net import discovery
 from .net.chunks import ChunkClient, open_session
 from .net.discovery import Directory, Watch
 from .net.listener import RESERVE, Listener
@@ -64,7 +65,8 @@
     async with AsyncExitStack() as stack:
         outgoing = told.sockets // 2
         session = await stack.enter_async_context(open_session(told.links, outgoing))
-        watch = Watch(broker, directory, session, told.discovery)
+        asking = await stack.enter_async_context(discovery.open_session())
+        watch = Watch(broker, directory, asking, told.discovery)
         watch.known(told.known)
         loop.add_signal_handler(signal.SIGHUP, reload, told, watch)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
--- a/ochrespan/net/chunks.py
+++ b/ochrespan/net/chunks.py
@@ -9,6 +9,7 @@
 from contextvars import ContextVar
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import partial
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -16,6 +17,7 @@
 
 from ..broker import Attempt, Broker, Failed, Outcome, Refused, Request, Status
 from ..settings import Links
+from .answers import AnswerHandler, Spoilt, Stale
 from .discovery import Directory
 
 log = logging.getLogger(__name__)
@@ -58,8 +60,18 @@
             conn.transport.set_write_buffer_limits(0)
         progress = PROGRESS.get(Progress())
         progress.protocol, progress.transport = conn.protocol, conn.transport
+        if not self._body:  # else when the body's task begins to write, a turn of the loop later
+            conn.protocol.expect()
         return await super().send(conn)
 
+    async def write_bytes(self, writer, conn, content_length=None):  # type: ignore[no-untyped-def]
+        try:
+            conn.protocol.expect()
+        except Stale as why:
+            conn.protocol.set_exception(why)
+            return
+        await super().write_bytes(writer, conn, content_length)
+
 
 def open_session(links: Links, sockets: int) -> aiohttp.ClientSession:
     """A session that sends each request once, as it is, and hands back what comes as it is."""
@@ -69,6 +81,7 @@
         keepalive_timeout=links.idle.total_seconds() * IDLE_PART,
         use_dns_cache=False,
     )
+    connector._factory = partial(AnswerHandler, loop=asyncio.get_running_loop())  # there is no public way
     session = aiohttp.ClientSession(
         connector=connector,
         request_class=TrackedRequest,
@@ -148,10 +161,16 @@
             await progress.abandon()
         except aiohttp.ClientConnectorError:
             status = Status.CONNECT_FAILED
+        except Spoilt as why:
+            # the node answers, though nothing that is of use: an error, which it may have run, and no sign of load
+            status = Status.ERROR if progress.written else Status.CONNECT_FAILED
+            log.info("answer spoilt", extra={"node": attempt.node, "why": str(why)})
+            await progress.abandon()
         except (aiohttp.ClientError, OSError, ValueError) as why:
             # a break before the last byte was written never ran; after it, it may have
             status = Status.RESET if progress.written else Status.CONNECT_FAILED
             log.debug("attempt broke", extra={"node": attempt.node, "why": repr(why)})
+            await progress.abandon()
         headers = answer.headers if answer else {}
         outcome = Outcome(
             attempt, status, timedelta(seconds=loop.time() - began),
@@ -166,9 +185,14 @@
         PROGRESS.set(progress)
         wait = max(1, attempt.timeout // timedelta(milliseconds=1))
         headers = message.headers | {"X-Expires-In-Ms": str(wait)}
-        response = await self._session.request(
-            message.method, URL(f"http://{address}{message.target}", encoded=True), data=message.body or None,
-            headers=headers, allow_redirects=False)
+        while True:
+            try:
+                response = await self._session.request(
+                    message.method, URL(f"http://{address}{message.target}", encoded=True),
+                    data=message.body or None, headers=headers, allow_redirects=False)
+                break
+            except Stale:  # nothing was sent: no attempt yet; each takes one connection out of the pool
+                await progress.abandon()
         try:
             body = await response.read()  # whole, or not at all: a broken body is a reset
         except BaseException:
--- a/ochrespan/net/discovery.py
+++ b/ochrespan/net/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
 import math
 from datetime import UTC, datetime, timedelta
@@ -17,6 +18,7 @@
 WAIT = timedelta(seconds=20)  # how long one call of the watch may stay open
 PACE = timedelta(milliseconds=100)  # least time between calls that bring nothing; a watch stands 200 ms
 GRACE = timedelta(seconds=2)  # and how much longer its answer may take before it counts as failed
+MOST_LIST = 4 << 20  # bytes
 STATES = {"up": NodeState.READY, "draining": NodeState.DRAINING, "removed": NodeState.GONE}
 
 
@@ -74,6 +76,13 @@
         return (ListKind.FULL if complete else ListKind.DELTA), [node for node, _ in read]
 
 
+def open_session() -> aiohttp.ClientSession:
+    """For the calls to discovery alone: its lists keep other bounds than chunk servers' answers."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=2, use_dns_cache=False), trust_env=False,
+        cookie_jar=aiohttp.DummyCookieJar())
+
+
 class Watch:
     """Calls discovery when the broker asks, and goes on calling for as long as the calls succeed."""
 
@@ -153,4 +162,9 @@
         async with call as answer:
             if answer.status != 200:
                 raise BadList(f"status {answer.status}")
-            return await answer.json(content_type=None)
+            body = b""
+            async for some in answer.content.iter_any():
+                body += some
+                if len(body) > MOST_LIST:
+                    raise BadList("the list is too long")
+            return json.loads(body)
--- a/tests/test_chunks.py
+++ b/tests/test_chunks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import threading
 from datetime import timedelta
 
 import pytest
@@ -108,6 +109,48 @@
     play(story())
 
 
+@pytest.mark.parametrize("body", [b"", b"some"])
+@pytest.mark.parametrize("seen", [True, False])
+def test_what_comes_between_two_requests_answers_neither(seen, body):
+    """aiohttp keeps it for the next request; unseen in the kernel it would be read as that one's answer."""
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
+    go, gone = threading.Event(), threading.Event()
+
+    def serve(listener):
+        first, _ = listener.accept()
+        first.recv(65536)
+        first.sendall(answer + b"1")
+        go.wait(10)
+        first.sendall(answer + b"x")
+        gone.set()
+        second, _ = listener.accept()
+        second.recv(65536)
+        second.sendall(answer + b"2")
+        first.close()
+        second.close()
+
+    async def story():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.settimeout(8)
+            thread = threading.Thread(target=serve, args=(listener,))
+            thread.start()
+            directory = Directory()
+            directory.addresses["n"] = "127.0.0.1:%d" % listener.getsockname()[1]
+            async with open_session(LINKS, 10) as session:
+                client, got, request = ChunkClient(session, directory), [], Request("v", "r", "g", timedelta(1))
+                for number in range(2):
+                    attempt = Attempt(request, number, "n", timedelta(seconds=5))
+                    got.append((await client.send(attempt, Message("PUT", "/x", body)))[1].body)
+                    go.set()
+                    gone.wait(10)
+                    if seen:
+                        await asyncio.sleep(0.1)
+            assert got == [b"1", b"2"]
+            thread.join(10)
+
+    play(story())
+
+
 def test_load_reports_are_read_as_far_as_they_can_be():
     assert read_load("TEXT inflight=7, queue=2, util=0.61") == {"inflight": 7, "queue": 2, "util": 0.61}
     assert read_load("TEXT queue=nan, util=, odd=3, qps=1e999,=") == {}
--- a/tests/world.py
+++ b/tests/world.py
@@ -52,7 +52,7 @@
 
     def __init__(self, shard: int) -> None:
         self.id, self.shard, self.phase, self.address = f"s-{shard}", shard, "up", ""
-        self.script: deque[str] = deque()
+        self.script: deque[str | bytes] = deque()  # bytes are sent as they are
         self.always = ""
         self.delay, self.up_since_ms = 0.0, 0
         self.stored: dict[str, bytes] = {}
@@ -111,6 +111,10 @@
             gone.cancel()
             return False
         await asyncio.sleep(self.delay)
+        if isinstance(act, bytes):
+            writer.write(act)
+            await writer.drain()
+            return True
         status, answer = 200, b""
         if act == "full" or (act == "" and self.phase == "draining" and method == "PUT"):
             status = 503
