Guard each client's connection: little time, strict framing, room under the descriptors

Cause: the listener had no limit for a head, a body or silence; asyncio takes all that has connected at once and runs out of descriptors; platform.py let unknown classes and plans, an id already open, a GET with a body, doubled headers and a fragment through; aiohttp logs a traceback for each bad head. policy.py took any time left for a class's longest. The broker refuses names that the settings lack and too many units; time left is cut at the class's deadline.

--- a/ochrespan/__main__.py
+++ b/ochrespan/__main__.py
@@ -12,6 +12,7 @@
 from contextlib import AsyncExitStack
 from datetime import timedelta
 from pathlib import Path
+from typing import Any
 
 from . import config, logs, operator
 from .broker import Broker
@@ -21,7 +22,7 @@
 from .net.chunks import ChunkClient, open_session
 from .net.discovery import Directory, Watch
 from .net.listener import RESERVE, Listener
-from .net.platform import PlatformFront
+from .net.platform import MOST_BODY, PlatformFront
 from .objects.front import ObjectFront
 from .objects.store import ChunkStore
 from .objects.uploads import Uploads
@@ -63,7 +64,7 @@
     broker = Broker(dataclasses.replace(told.settings, plans=told.settings.plans | extra.plans))
     directory = Directory()
     async with AsyncExitStack() as stack:
-        outgoing = told.sockets // 2
+        outgoing = told.sockets // 3  # clients may hold as many for requests, and bad ones come on top
         session = await stack.enter_async_context(open_session(told.links, outgoing))
         asking = await stack.enter_async_context(discovery.open_session())
         watch = Watch(broker, directory, asking, told.discovery)
@@ -71,19 +72,20 @@
         loop.add_signal_handler(signal.SIGHUP, reload, told, watch)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         client = ChunkClient(session, directory)
-        fronts = [(PlatformFront(broker, client, lifecycle).handle, told.listen)]
+        fronts: list[tuple[Any, tuple[str, int], int | None]] = [
+            (PlatformFront(broker, client, lifecycle).handle, told.listen, MOST_BODY)]
         if extra.objects is not None:
             front = object_front(told, extra.objects, broker, client, lifecycle)
-            fronts.append((front.handle, extra.objects.listen))
+            fronts.append((front.handle, extra.objects.listen, None))
         jobs = [watch.run()]
         jobs += [Graphite(extra.graphite, told.name, broker).run()] if extra.graphite else []
         jobs += [Collectd(extra.collectd, told.name, broker).run()] if extra.collectd else []
         listeners = []
         most = (told.sockets - outgoing - RESERVE) // len(fronts)
-        for handle, address in fronts:
-            listeners.append(Listener(handle, most))
+        for handle, address, most_body in fronts:
+            listeners.append(Listener(handle, most, most_body))
             await listeners[-1].open(address)
-            stack.push_async_callback(listeners[-1].shutdown, 1.0)
+            stack.push_async_callback(listeners[-1].shutdown, GRACE)
         tasks = [asyncio.create_task(job) for job in jobs]
         lifecycle.advance(Phase.READY)
         await lifecycle.reached(Phase.DRAINING)
--- a/ochrespan/broker.py
+++ b/ochrespan/broker.py
@@ -22,7 +22,7 @@
 log = logging.getLogger(__name__)
 
 __all__ = ["Attempt", "Broker", "Failed", "ListKind", "Node", "NodeState", "Outcome", "Refused", "Request",
-           "Status"]
+           "Status", "Unacceptable"]
 
 
 @dataclass(slots=True, eq=False)
@@ -39,6 +39,10 @@
     hosts: int = 0
 
 
+class Unacceptable(ValueError):
+    """A request that names what the settings do not know, or asks for more than one request may."""
+
+
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One try at one node, for so long; `limited` ends it early when the broker takes it back."""
@@ -172,6 +176,7 @@
         """The next attempt of the request, or its final refusal or failure."""
         held = self._held.get(request)
         if held is None:
+            self._check(request)
             held = _Held(f"q{next(self._ids)}", request, self._clock(), self._usage(request))
             self._held[request] = self._by_id[held.id] = held
             held.step = self._loop.create_future()
@@ -190,6 +195,18 @@
             self._forget(held)
         return step
 
+    def _check(self, request: Request) -> None:
+        """Nothing that a client makes up may take part in the decisions, or leave a trace in them."""
+        settings = self._settings
+        if request.cls not in settings.classes:
+            raise Unacceptable("there is no such class")
+        if settings.plans and request.plan not in settings.plans:
+            raise Unacceptable("there is no such plan")
+        if not 0 < request.units <= settings.most_units:
+            raise Unacceptable("no request has so many units")
+        if request.shard < -1:
+            raise Unacceptable("there is no such shard")
+
     def report(self, outcome: Outcome) -> None:
         """How an attempt ended. A served one ends its request; for any other, ask `pick` again."""
         held = self._held.get(outcome.attempt.request)
@@ -263,10 +280,9 @@
                     log.info(words)
 
     def _usage(self, request: Request) -> Usage:
-        """The counters of its plan and class; names that the settings lack share one, as clients make them up."""
-        plan = request.plan if request.plan in self._settings.plans else "other"
-        cls = request.cls if request.cls in self._settings.classes else "other"
-        return self.counts.usage.setdefault((plan, cls), Usage())
+        """The counters of its plan and class; where the settings name no plan, clients make them up."""
+        plan = request.plan if self._settings.plans else "other"
+        return self.counts.usage.setdefault((plan, request.cls), Usage())
 
     def _wake(self, delay: float) -> None:
         # the module asks for a timer only when it needs an earlier one, or when the last has come
--- /dev/null
+++ b/ochrespan/net/guard.py
@@ -0,0 +1,176 @@
+"""Stands between a client's connection and aiohttp's handler: what is no request never reaches the handler.
+
+A connection costs a small object until its first request has come. It is owed little time: for its first byte, for
+the rest of a request, between requests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import Callable
+from datetime import timedelta
+from enum import Enum
+from http import HTTPStatus
+from typing import Any
+
+from .framing import Framer, Unreadable
+
+REQUEST_TIME = timedelta(seconds=2)  # from connecting, or from its first byte, to the end of a request
+IDLE_TIME = timedelta(seconds=5)  # between requests
+LINGER = timedelta(seconds=1)  # for a client to read the error that ends its connection
+MOST_DISCARDED = 256 * 1024  # bytes read and thrown away meanwhile
+MOST_AHEAD = 16 * 1024  # bytes kept that come while a request is being answered
+
+
+class State(Enum):
+    SILENT = "silent"  # nothing has come yet
+    READING = "reading"  # part of a request
+    BUSY = "busy"  # a request is being answered
+    QUIET = "quiet"  # between requests
+    LEAVING = "leaving"  # is being closed, or reads the error that ends it
+    CLOSED = "closed"
+
+
+LIMITS = {State.SILENT: REQUEST_TIME, State.READING: REQUEST_TIME, State.QUIET: IDLE_TIME, State.LEAVING: LINGER}
+
+
+class RequestFramer(Framer):
+    FIRST_LINE = re.compile(rb"[A-Z]{1,16} /[\x21-\x7e]* HTTP/1\.[01]")
+    START = re.compile(rb"[A-Z]{1,16}(?: |\Z)")
+
+    def _begins(self) -> bool:
+        return self.START.match(self.head) is not None
+
+    def _bodiless(self) -> bool:
+        return not any(name in (b"content-length", b"transfer-encoding") for name, _ in self.fields)
+
+
+class Guard(asyncio.Protocol):
+    """One client's connection."""
+
+    def __init__(self, make: Callable[[], Any], most_body: int | None, moved: Callable[[Guard], None]) -> None:
+        """`make` gives a handler of aiohttp's server; `moved` hears of each new state, and of the end.
+
+        With `most_body` a request is passed on once it is whole and alone; without, its body goes on as it comes.
+        """
+        self._make, self._most_body, self._moved = make, most_body, moved
+        self._loop = asyncio.get_running_loop()
+        self.state, self.since = State.SILENT, self._loop.time()
+        self.handler: Any = None
+        self.transport: asyncio.Transport | None = None
+        self._framer: RequestFramer | None = None
+        self._held = bytearray()  # of the request that is being read
+        self._ahead = bytearray()  # of what comes before its answer is out
+        self._discarded = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        self._moved(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.state = State.CLOSED
+        if self.handler is not None:
+            self.handler.connection_lost(exc)
+        self._moved(self)
+
+    def pause_writing(self) -> None:
+        if self.handler is not None:
+            self.handler.pause_writing()
+
+    def resume_writing(self) -> None:
+        if self.handler is not None:
+            self.handler.resume_writing()
+
+    def data_received(self, data: bytes) -> None:
+        if self.state is State.LEAVING:
+            self._discarded += len(data)
+            if self._discarded > MOST_DISCARDED and self.transport is not None:
+                self.transport.pause_reading()
+        elif self.state is State.BUSY and self._framer is None:
+            if len(self._ahead) < MOST_AHEAD:  # a client that sends more has not kept to one request at a time
+                self._ahead += data
+        else:
+            self._read(data)
+
+    def done(self) -> None:
+        """The answer is out."""
+        if self.state is not State.BUSY:
+            return
+        if self._framer is not None:  # answered before its body had come; the handler closes
+            self._enter(State.LEAVING)
+            return
+        self._enter(State.QUIET)
+        if self._ahead:
+            ahead, self._ahead = bytes(self._ahead), bytearray()
+            self._read(ahead)
+
+    def expire(self) -> None:
+        """Its time is up, or its descriptor is needed."""
+        if self.state is State.READING:
+            self.refuse(HTTPStatus.REQUEST_TIMEOUT, "the request did not come in time")
+        elif self.state is State.LEAVING:
+            self._transport.abort()
+        else:
+            self._enter(State.LEAVING)
+            self._transport.close()
+
+    @property
+    def closing(self) -> bool:
+        return self._transport.is_closing()
+
+    @property
+    def _transport(self) -> asyncio.Transport:
+        assert self.transport is not None
+        return self.transport
+
+    def _enter(self, state: State) -> None:
+        # a first request has its time from connecting on: a silent beginning gains nothing
+        if (self.state, state) != (State.SILENT, State.READING):
+            self.since = self._loop.time()
+        self.state = state
+        self._moved(self)
+
+    def _read(self, data: bytes) -> None:
+        if self.state in (State.SILENT, State.QUIET):
+            self._enter(State.READING)
+        framer = self._framer = self._framer or RequestFramer(self._most_body)
+        try:
+            used = framer.take(data)
+            if self._most_body is not None and used < len(data):
+                raise Unreadable("more came than the request that was announced")
+        except Unreadable as why:
+            if self.state is State.BUSY:  # the handler has its head: only a close can tell now
+                self._transport.abort()
+            else:
+                self.refuse(why.status, str(why))
+            return
+        self._held += data[:used]
+        if framer.first is None:
+            return
+        if framer.whole or self._most_body is None:
+            self._pass_on(framer.whole)
+            self._ahead += data[used:]
+        elif (b"expect", b"100-continue") in framer.fields and len(self._held) == len(framer.head):
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _pass_on(self, whole: bool) -> None:
+        held, self._held = bytes(self._held), bytearray()
+        if whole:
+            self._framer = None
+        if self.handler is None:
+            self.handler = self._make()
+            self.handler.connection_made(self.transport)
+        if self.state is not State.BUSY:
+            self._enter(State.BUSY)
+        self.handler.data_received(held)
+
+    def refuse(self, status: int, why: str) -> None:
+        """An error that the client can still read: the connection ends in two steps, so that none cuts it off."""
+        known = HTTPStatus(status)
+        self._framer, self._held = None, bytearray()
+        self._transport.write(
+            f"HTTP/1.1 {known.value} {known.phrase}\r\nContent-Type: text/plain\r\nConnection: close\r\n"
+            f"Content-Length: {len(why) + 1}\r\n\r\n{why}\n".encode())
+        self._transport.write_eof()
+        self._enter(State.LEAVING)
--- a/ochrespan/net/listener.py
+++ b/ochrespan/net/listener.py
@@ -1,63 +1,151 @@
-"""Listening sockets whose connections stay under a bound."""
+"""A listening socket whose connections stay under a bound, and none of which is owed more than a little time."""
 
 from __future__ import annotations
 
 import asyncio
+import logging
+import socket
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from itertools import islice
 from typing import Any
 
 from aiohttp import web
 
-RESERVE = 64  # descriptors for the rest: log, discovery, listeners, sinks, what is just being accepted
-IDLE = timedelta(seconds=1)  # a connection that has been quiet for so long may be let go
+from .guard import LIMITS, LINGER, Guard, State
 
+log = logging.getLogger(__name__)
 
-class Listener(web.Server):
-    """A server that lets its quietest connections go for each one beyond the most it should hold.
+RESERVE = 48  # descriptors for the rest: log, discovery, listeners, sinks, what is being closed
+BACKLOG = 1024
+AT_ONCE = 16  # connections taken in one turn of the loop: the rest of the program has its turns between
+LOOK = timedelta(seconds=0.2)  # between looks at whose time is up
+SPARE = {  # who has to go when a descriptor is needed, from what age on
+    State.LEAVING: timedelta(seconds=0.1), State.SILENT: timedelta(seconds=0.2),
+    State.READING: timedelta(seconds=0.5), State.QUIET: timedelta(seconds=0.3),
+}
 
-    At the limit of descriptors the kernel goes on accepting what the program can no longer take over: those
-    requests would be lost. Only what is between requests is closed, and not what has just come: its first request
-    may be here already, unread. (aiohttp's own `close` of an idle connection leaves it open and deaf.)
+
+class Listener:
+    """Takes a connection only when there is room for it, and makes room where one is of little use.
+
+    What asyncio's own server does here, taking all that has come at once, runs out of descriptors when clients
+    connect by the hundreds, and then takes nobody for a second. Requests are never among what has to go.
     """
 
-    def __init__(self, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], most: int) -> None:
-        super().__init__(self._tracked, handler_cancellation=True, access_log=None, auto_decompress=False)
-        self._handler, self._most = handler, max(1, most)
-        self._quiet: dict[Any, float] = {}  # connections between requests, the longest so first
-        self._listener: asyncio.Server | None = None
+    def __init__(
+        self, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], most: int,
+        most_body: int | None = None,
+    ) -> None:
+        self._server = web.Server(
+            self._tracked, handler_cancellation=True, access_log=None, auto_decompress=False,
+            lingering_time=LINGER.total_seconds())
+        self._handler, self._most, self._most_body = handler, max(1, most), most_body
+        self._held: dict[State, dict[Guard, None]] = {state: {} for state in State}  # the longest in a state first
+        self._states: dict[Guard, State] = {}
+        self._guards: dict[Any, Guard] = {}  # by aiohttp's handler
+        self._arriving: set[asyncio.Task[Any]] = set()
+        self._loop = asyncio.get_running_loop()
+        self._socket: socket.socket | None = None
+        self._listening = False
+        self._look: asyncio.TimerHandle | None = None
 
     async def _tracked(self, request: web.BaseRequest) -> web.StreamResponse:
-        self._quiet.pop(request.protocol, None)
         try:
             return await self._handler(request)
         finally:
-            if request.transport is not None:
-                self._quiet[request.protocol] = self._now()
-
-    def connection_made(self, handler: Any, transport: asyncio.Transport) -> None:
-        super().connection_made(handler, transport)
-        excess = len(self.connections) - self._most
-        if excess > 0:
-            quiet = (held for held, since in self._quiet.items() if since < self._now() - IDLE.total_seconds())
-            for oldest in list(islice(quiet, excess)):
-                del self._quiet[oldest]
-                oldest.force_close()
-        self._quiet[handler] = self._now()
-
-    def connection_lost(self, handler: Any, exc: BaseException | None = None) -> None:
-        self._quiet.pop(handler, None)
-        super().connection_lost(handler, exc)
-
-    @staticmethod
-    def _now() -> float:
-        return asyncio.get_running_loop().time()
+            if guard := self._guards.get(request.protocol):
+                self._loop.call_soon(guard.done)  # the answer is written in this turn of the loop
+
+    # ---- connections ----
+
+    def _make(self) -> Guard:
+        return Guard(self._server, self._most_body, self._moved)
+
+    def _moved(self, guard: Guard) -> None:
+        if (was := self._states.pop(guard, None)) is not None:
+            del self._held[was][guard]
+        if guard.state is State.CLOSED:
+            self._guards.pop(guard.handler, None)
+            self._listen()
+            return
+        self._states[guard] = guard.state
+        self._held[guard.state][guard] = None
+        if guard.handler is not None:
+            self._guards[guard.handler] = guard
+
+    def _accept(self) -> None:
+        assert self._socket is not None
+        for _ in range(AT_ONCE):
+            if len(self._states) + len(self._arriving) >= self._most and not self._make_room():
+                self._pause()  # until somebody leaves
+                return
+            try:
+                sock, _ = self._socket.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as why:
+                log.warning("cannot take a connection", extra={"why": str(why)})
+                self._pause()
+                return
+            sock.setblocking(False)
+            task = self._loop.create_task(self._loop.connect_accepted_socket(self._make, sock))
+            self._arriving.add(task)
+            task.add_done_callback(self._arrived)
+
+    def _arrived(self, task: asyncio.Task[Any]) -> None:
+        self._arriving.discard(task)
+        if not task.cancelled() and (why := task.exception()) is not None:
+            log.warning("a connection was lost as it came", extra={"why": repr(why)})
+
+    def _make_room(self) -> bool:
+        for state, age in SPARE.items():
+            oldest = next((guard for guard in self._held[state] if not guard.closing), None)
+            if oldest is not None and self._loop.time() - oldest.since > age.total_seconds():
+                oldest.expire()
+                return True
+        return False
+
+    def _listen(self) -> None:
+        if self._socket is not None and not self._listening:
+            self._listening = True
+            self._loop.add_reader(self._socket.fileno(), self._accept)
+
+    def _pause(self) -> None:
+        if self._socket is not None and self._listening:
+            self._listening = False
+            self._loop.remove_reader(self._socket.fileno())
+
+    def _look_round(self) -> None:
+        for state, limit in LIMITS.items():
+            for guard in list(self._held[state]):
+                if self._loop.time() - guard.since > limit.total_seconds():
+                    guard.expire()
+        self._listen()
+        self._look = self._loop.call_later(LOOK.total_seconds(), self._look_round)
+
+    # ---- the socket ----
 
     async def open(self, address: tuple[str, int]) -> None:
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(self, *address, backlog=1024, reuse_address=True)
+        (family, kind, proto, _, where), *_ = await self._loop.getaddrinfo(*address, type=socket.SOCK_STREAM)
+        self._socket = socket.socket(family, kind, proto)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.setblocking(False)
+        self._socket.bind(where)
+        self._socket.listen(BACKLOG)
+        self._look_round()
 
     def stop_accepting(self) -> None:
-        if self._listener is not None:
-            self._listener.close()
+        if self._socket is not None:
+            self._accept()  # what has come already is still taken
+            self._pause()
+            self._socket.close()
+            self._socket = None
+
+    async def shutdown(self, timeout: timedelta) -> None:
+        self.stop_accepting()
+        if self._look is not None:
+            self._look.cancel()
+        await self._server.shutdown(timeout.total_seconds())
+        for guard in list(self._states):
+            if guard.transport is not None:
+                guard.transport.abort()
--- a/ochrespan/net/platform.py
+++ b/ochrespan/net/platform.py
@@ -4,19 +4,21 @@
 
 import asyncio
 import logging
-import math
 import re
 from datetime import timedelta
 
 from aiohttp import web
 
-from ..broker import Broker, Failed, Refused, Request
+from ..broker import Broker, Failed, Refused, Request, Unacceptable
 from ..lifecycle import Lifecycle
 from .chunks import ChunkClient, Message, serve
 
 log = logging.getLogger(__name__)
 
-PATH = re.compile(r"/.*?([0-9a-fA-F]{16})/([0-9a-fA-F]{16})(?:\?.*)?")
+PATH = re.compile(r"/[^?#]*?([0-9a-fA-F]{16})/([0-9a-fA-F]{16})(?:\?[^#]*)?")
+TRACE = re.compile(r"[\x21-\x7e]{1,128}")
+WHOLE = re.compile(r"-?[0-9]{1,9}")
+FIGURE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 MOST_BODY = 64 * 1024
 
 
@@ -24,58 +26,52 @@
     """The client's request cannot be read."""
 
 
-def figure(text: str, name: str) -> float:
-    try:
-        value = float(text)
-    except ValueError:
-        raise Malformed(f"{name} is not a number") from None
-    if not math.isfinite(value):
-        raise Malformed(f"{name} is not finite")
-    return value
+def one(request: web.BaseRequest, name: str) -> str:
+    """The header's value; a header that is there twice says nothing for certain."""
+    values = request.headers.getall(name, [])
+    if len(values) > 1:
+        raise Malformed(f"{name} is there more than once")
+    return values[0] if values else ""
+
+
+def figure(text: str, name: str, form: re.Pattern[str] = WHOLE) -> float:
+    if not form.fullmatch(text):
+        raise Malformed(f"{name} is no such figure")
+    return float(text)
 
 
 def read_request(request: web.BaseRequest) -> Request:
     """The core's request in the platform's headers."""
-    headers = request.headers
     found = PATH.fullmatch(request.raw_path)
     if request.method not in ("GET", "PUT") or found is None:
         raise Malformed("not a GET or PUT of a volume's data")
-    if not headers.get("X-Trace-Id") or not headers.get("X-Qos"):
-        raise Malformed("X-Trace-Id or X-Qos is missing")
-    extras = dict(part.strip().partition("=")[::2] for part in headers.get("X-IO", "").split(","))
-    left = figure(headers.get("X-Expires-In-Ms", ""), "X-Expires-In-Ms")
-    units = figure(extras.get("units", "1"), "units")
-    if units <= 0 or not -1e9 < left < 1e9:
-        raise Malformed("a figure is out of range")
+    if not TRACE.fullmatch(one(request, "X-Trace-Id")):
+        raise Malformed("X-Trace-Id is missing or no id")
+    has_length = "Content-Length" in request.headers or "Transfer-Encoding" in request.headers
+    if request.method == "PUT" and not has_length:
+        raise Malformed("a PUT without a length")
+    if request.method == "GET" and request.body_exists:
+        raise Malformed("a GET with a body")
+    parts = [part.strip().partition("=")[::2] for part in one(request, "X-IO").split(",")]
+    extras = dict(parts)
+    if len(extras) < len(parts):
+        raise Malformed("X-IO says something twice")
+    left = figure(one(request, "X-Expires-In-Ms"), "X-Expires-In-Ms")
+    hosts = figure(extras.get("hosts", "0"), "hosts")
+    if left < 0 or hosts < 0:
+        raise Malformed("a figure is below 0")
     return Request(
         volume=found[1],
         key=found[2],
-        cls=headers["X-Qos"],
-        plan=headers.get("X-Plan", ""),
+        cls=one(request, "X-Qos"),
+        plan=one(request, "X-Plan"),
         time_left=timedelta(milliseconds=left),
-        units=units,
+        units=figure(extras.get("units", "1"), "units", FIGURE),
         shard=int(figure(extras.get("shard", "-1"), "shard")),
-        hosts=int(figure(extras.get("hosts", "0"), "hosts")),
+        hosts=int(hosts),
     )
 
 
-async def read_body(request: web.BaseRequest) -> bytes:
-    if not request.body_exists:
-        return b""
-    if (request.content_length or 0) > MOST_BODY:
-        raise Malformed("the body is too long")
-    if request.headers.get("Expect", "").lower() == "100-continue":
-        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        request.writer.output_size = 0
-    try:
-        body = await request.read()
-    except (web.HTTPRequestEntityTooLarge, web.RequestPayloadError) as why:
-        raise Malformed("the body is too long or cannot be read") from why
-    if len(body) > MOST_BODY:
-        raise Malformed("the body is too long")
-    return body
-
-
 def retry_after(pause: timedelta) -> str:
     return f"{pause.total_seconds():.3f}"
 
@@ -83,15 +79,16 @@
 class PlatformFront:
     def __init__(self, broker: Broker, chunks: ChunkClient, lifecycle: Lifecycle) -> None:
         self._broker, self._chunks, self._lifecycle = broker, chunks, lifecycle
+        self._open: set[str] = set()  # the ids of the requests in hand
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """One final answer to whatever arrives, also when something of ours breaks."""
         with self._lifecycle.work():
             try:
                 response = await self._answer(request)
-            except Malformed as why:
+            except (Malformed, Unacceptable) as why:
                 response = web.Response(status=400, text=f"{why}\n")
-                response.force_close()  # what follows on this connection may be the rest of the garbage
+                response.force_close()  # whoever sends such things may as well start anew
             except asyncio.CancelledError:
                 raise
             except Exception:
@@ -105,9 +102,18 @@
         if request.raw_path == "/up":
             return web.Response(status=200 if self._lifecycle.ready else 503)
         taken = read_request(request)
-        body = await read_body(request)
-        headers = {"X-Trace-Id": request.headers["X-Trace-Id"]}
-        message = Message(request.method, request.raw_path, body, headers)
+        trace = request.headers["X-Trace-Id"]
+        if trace in self._open:  # answers could not be told apart, and the other is not this client's to touch
+            raise Malformed("X-Trace-Id is that of an open request")
+        self._open.add(trace)
+        try:
+            return await self._serve(request, taken, trace)
+        finally:
+            self._open.discard(trace)
+
+    async def _serve(self, request: web.BaseRequest, taken: Request, trace: str) -> web.Response:
+        body = await request.read()
+        message = Message(request.method, request.raw_path, body, {"X-Trace-Id": trace})
         if body:
             message.headers["Content-Type"] = request.headers.get("Content-Type", "application/octet-stream")
         match await serve(self._broker, self._chunks, taken, message):
--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -119,10 +119,12 @@
     def _take(self, req: api.Request) -> None:
         # a class that the settings do not name is read in the most careful way: unsafe
         cls, flow = self.set.classes.get(req.cls) or api.RequestClass(req.cls, inf, 0.0), self._flow(req)
-        end_at = self.now + req.time_left - 2 * self.set.step - 0.001  # guard 1: two steps before it is up
+        # no client has more than its class's time; one that says so would make all others look like repeats
+        left = min(req.time_left, cls.deadline or inf)
+        end_at = self.now + left - 2 * self.set.step - 0.001  # guard 1: two steps before it is up
         # a try with less time than the class's others is a client's repeat: it has spent part of its aim
-        most = self.longest[req.cls] = max(req.time_left, self.longest.get(req.cls, 0.0))
-        aim_at = self.now + cls.aim + req.time_left - most
+        most = self.longest[req.cls] = max(left, self.longest.get(req.cls, 0.0))
+        aim_at = self.now + cls.aim + left - most
         job = self.jobs[req.id] = Job(req, cls, flow, self.now, aim_at, end_at)
         self.taken.add(self.now, 1)
         heapq.heappush(self.ends, (end_at, next(self.count), job))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -427,3 +427,12 @@
         name = head.take()
         head.wait(4)
         assert least <= head.finals[name].pause <= most
+
+
+def test_a_client_that_claims_to_have_for_ever_takes_no_time_from_the_others():
+    head = Head(1)
+    head.take(time_left=1e6)
+    head.take(time_left=4.0)
+    assert len(head.sent()) == 2  # the second is no repeat that has spent its aim
+    head.wait(5.0)
+    assert set(head.finals) == {"r1", "r2"}  # and the first is not held for ever
