Let the drain test send enough chunks that either half reaches both nodes

Cause: tests/test_objects.py sent 6 chunks before the drain and 6 after. A chunk's shard is a digest over a generation that store.py draws anew for each write, so one run in 64 sends none of them to that node. Ruled out: the front; it had stored all 6 at the other node and waited for the client, as it should. Now 32 chunks on each side (one run in 2^32). The other tests that count chunks run on one node.

--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -289,13 +289,15 @@
 @pytest.mark.parametrize("replaced", [True, False])
 def test_an_upload_whose_node_drains_partway_ends_in_one_final_answer(replaced):
     async def story():
-        before, body = some_bytes(1000, 7), some_bytes(12 * PAYLOAD, 8)
+        # a chunk's shard is a lot drawn anew each time: so many that either half reaches both nodes
+        half = 32 * PAYLOAD
+        before, body = some_bytes(1000, 7), some_bytes(2 * half, 8)
         async with World(2, OPERATOR) as world:
             assert (await world.objects("PUT", WHERE, before))[0] == 200
             drained = world.nodes[1]
 
             async def sending():
-                yield body[:6 * PAYLOAD]
+                yield body[:half]
                 await until(lambda: any(len(seen[3]) > 60000 for seen in drained.seen))
                 world.tell(drained, "draining")
                 if replaced:
@@ -304,7 +306,7 @@
                     await fresh.start()
                     world.nodes.append(fresh)
                     world.tell(fresh, "up")
-                yield body[6 * PAYLOAD:]
+                yield body[half:]
 
             url = f"http://127.0.0.1:{world.object_port}{WHERE}"
             async with world.session.put(url, data=sending()) as answer:
