Serve kept connections after SIGTERM until shortly before SIGKILL

Each front stopped 0.8 s after SIGTERM; SIGKILL came 2.6 s after it. Cause: __main__.py closed each connection with its next answer from SIGTERM on and ended once no request was at work. No other front serves those volumes, so all that clients asked for in the meantime met a closed port. Ruled out: answers of ours with other statuses; errors of chunk servers (none after 15 s); a slow start alone (0.7 s). Now: connections that clients keep are served until 0.75 s before SIGKILL may come, answers close them from then on, and the module hears by when all has to be answered (api.Ending), so that nothing is left when the program exits.

--- a/ochrespan/__main__.py
+++ b/ochrespan/__main__.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from datetime import timedelta
 from pathlib import Path
@@ -29,9 +30,14 @@
 
 log = logging.getLogger("ochrespan")
 
-# after SIGTERM new connections come for up to 0.4 s, and all that arrives within 0.7 s is answered
+# After SIGTERM new connections come for up to 0.4 s. Clients go on using those they have, since no other front
+# serves their volumes, until SIGKILL: it comes the longest deadline, at most 3 s, and 0.7 s later or after that.
 ACCEPTS = timedelta(seconds=0.8)
-GRACE = timedelta(seconds=1)
+LONGEST, PATIENCE = timedelta(seconds=3), timedelta(seconds=0.7)
+CLOSING = timedelta(seconds=0.75)  # so long before SIGKILL each answer ends its connection ...
+ANSWERED = timedelta(seconds=0.4)  # ... every request has its final answer ...
+GONE = timedelta(seconds=0.3)  # ... and the program ends
+GRACE = timedelta(seconds=0.1)  # for what shuts down
 LOOK = timedelta(seconds=0.02)
 
 
@@ -56,6 +62,31 @@
     watch.move(new.discovery)
 
 
+async def drain(
+    told: config.Config, broker: Broker, listeners: list[Listener], lifecycle: Lifecycle
+) -> None:
+    """From SIGTERM on: serves for as long as the platform lets us, and ends with nothing unanswered."""
+
+    async def wait(until: timedelta, wanted: Callable[[], object]) -> None:
+        while wanted() and loop.time() < began + until.total_seconds():
+            await asyncio.sleep(LOOK.total_seconds())
+
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    longest = max((timedelta(seconds=cls.deadline) for cls in told.settings.classes.values()), default=LONGEST)
+    killed = max(min(longest, LONGEST) + PATIENCE, ACCEPTS + CLOSING)
+    await asyncio.sleep(ACCEPTS.total_seconds())
+    for listener in listeners:
+        listener.stop_accepting()
+    await wait(killed - CLOSING, lambda: any(listener.connections for listener in listeners))
+    lifecycle.advance(Phase.CLOSING)
+    broker.end_within(CLOSING - ANSWERED)
+    # a client that does not read its answer may not hold us
+    await wait(killed - GONE, lambda: lifecycle.working)
+    if lifecycle.working:
+        log.warning("ends with answers that were not read", extra={"requests": lifecycle.working})
+
+
 async def serve(told: config.Config, extra: operator.Operator) -> None:
     lifecycle = Lifecycle()
     loop = asyncio.get_running_loop()
@@ -80,7 +111,7 @@
         jobs = [watch.run()]
         jobs += [Graphite(extra.graphite, told.name, broker).run()] if extra.graphite else []
         jobs += [Collectd(extra.collectd, told.name, broker).run()] if extra.collectd else []
-        listeners = []
+        listeners: list[Listener] = []
         most = (told.sockets - outgoing - RESERVE) // len(fronts)
         for handle, address, most_body in fronts:
             listeners.append(Listener(handle, most, most_body))
@@ -89,14 +120,7 @@
         tasks = [asyncio.create_task(job) for job in jobs]
         lifecycle.advance(Phase.READY)
         await lifecycle.reached(Phase.DRAINING)
-        await asyncio.sleep(ACCEPTS.total_seconds())
-        for listener in listeners:
-            listener.stop_accepting()
-        # every request of the core ends by its deadline; a client that does not read its answer may not hold us
-        longest = max((cls.deadline for cls in told.settings.classes.values()), default=0.0)
-        ends = loop.time() + longest + GRACE.total_seconds()
-        while lifecycle.working and loop.time() < ends:
-            await asyncio.sleep(LOOK.total_seconds())
+        await drain(told, broker, listeners, lifecycle)
         for task in tasks:
             task.cancel()
         broker.close()
--- a/ochrespan/broker.py
+++ b/ochrespan/broker.py
@@ -252,6 +252,10 @@
             log.exception("tick failed")
             self._wake(0.02)
 
+    def end_within(self, span: timedelta) -> None:
+        """The program is about to end: every request, held or still to come, has its final answer by then."""
+        self._handle(api.Ending(self._now() + span.total_seconds()))
+
     def listing(self, kind: ListKind, nodes: list[Node] | None = None) -> None:
         """What discovery told."""
         self._handle(api.NodeList(kind, [
--- a/ochrespan/interface.py
+++ b/ochrespan/interface.py
@@ -157,6 +157,13 @@
     request_id: str
 
 
+@dataclass(slots=True)
+class Ending:
+    """The head is about to end: by then every request has its final answer."""
+
+    at: float
+
+
 @dataclass(slots=True)
 class NodeEntry:
     id: str
@@ -186,7 +193,7 @@
     report: dict[str, float] = field(default_factory=dict)
 
 
-Event = Request | Outcome | Started | Gone | NodeList | Timer | ProbeResult
+Event = Request | Outcome | Started | Gone | Ending | NodeList | Timer | ProbeResult
 
 
 # ---- actions ----
--- a/ochrespan/lifecycle.py
+++ b/ochrespan/lifecycle.py
@@ -14,7 +14,8 @@
 class Phase(Enum):
     STARTING = "starting"  # not yet to be put to use
     READY = "ready"
-    DRAINING = "draining"  # told to end: still answers all that arrives
+    DRAINING = "draining"  # told to end: still answers all that arrives, on the connections that clients keep
+    CLOSING = "closing"  # the platform's patience is about to end: every answer closes its connection
     STOPPED = "stopped"
 
 
@@ -53,5 +54,5 @@
         return self.phase is Phase.READY
 
     @property
-    def ending(self) -> bool:
-        return self.phase in (Phase.DRAINING, Phase.STOPPED)
+    def closing(self) -> bool:
+        return self.phase in (Phase.CLOSING, Phase.STOPPED)
--- a/ochrespan/net/listener.py
+++ b/ochrespan/net/listener.py
@@ -125,6 +125,10 @@
 
     # ---- the socket ----
 
+    @property
+    def connections(self) -> int:
+        return len(self._states) + len(self._arriving)
+
     async def open(self, address: tuple[str, int]) -> None:
         (family, kind, proto, _, where), *_ = await self._loop.getaddrinfo(*address, type=socket.SOCK_STREAM)
         self._socket = socket.socket(family, kind, proto)
--- a/ochrespan/net/platform.py
+++ b/ochrespan/net/platform.py
@@ -94,7 +94,7 @@
             except Exception:
                 log.exception("request failed")
                 response = web.Response(status=500)
-            if self._lifecycle.ending:
+            if self._lifecycle.closing:
                 response.force_close()  # only after the whole answer
             return response
 
--- a/ochrespan/objects/front.py
+++ b/ochrespan/objects/front.py
@@ -174,7 +174,7 @@
                 raise
             except Exception as why:
                 response = self._error(request, mapped(why))
-            if self._lifecycle.ending or not request.content.is_eof():
+            if self._lifecycle.closing or not request.content.is_eof():
                 response.force_close()  # what is left of a body that we refused is not read
             return response
 
@@ -236,7 +236,7 @@
         response.content_length = end - begin
         if span:
             response.headers["Content-Range"] = f"bytes {begin}-{end - 1}/{size}"
-        if self._lifecycle.ending:
+        if self._lifecycle.closing:
             response.force_close()
         if call.request.method == "HEAD":
             await response.prepare(call.request)
--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -61,6 +61,7 @@
         self.touched: dict[int, None] = {}  # shards to look at: a batch costs no more than what it touches
         self.lossy = 0.0  # part of attempts that timed out though a later send was answered
         self.tick_at = now  # next look at all that waits
+        self.stop_at = inf  # when the head ends
 
     def handle(self, now: float, events: list[api.Event]) -> list[api.Action]:
         self.now, self.acts = now, []
@@ -76,6 +77,10 @@
                     self._close(job)
                 case api.Started(name) if job := self.jobs.get(name):
                     job.done = True  # the answer that has begun is the client's
+                case api.Ending(at):
+                    self.stop_at = at
+                    for job in self.jobs.values():
+                        self._end_by(job, at)
         while self.ends and self.ends[0][0] <= self.now:
             job = heapq.heappop(self.ends)[2]
             if not job.done:
@@ -121,13 +126,12 @@
         cls, flow = self.set.classes.get(req.cls) or api.RequestClass(req.cls, inf, 0.0), self._flow(req)
         # no client has more than its class's time; one that says so would make all others look like repeats
         left = min(req.time_left, cls.deadline or inf)
-        end_at = self.now + left - 2 * self.set.step - 0.001  # guard 1: two steps before it is up
         # a try with less time than the class's others is a client's repeat: it has spent part of its aim
         most = self.longest[req.cls] = max(left, self.longest.get(req.cls, 0.0))
         aim_at = self.now + cls.aim + left - most
-        job = self.jobs[req.id] = Job(req, cls, flow, self.now, aim_at, end_at)
+        job = self.jobs[req.id] = Job(req, cls, flow, self.now, aim_at)
         self.taken.add(self.now, 1)
-        heapq.heappush(self.ends, (end_at, next(self.count), job))
+        self._end_by(job, min(self.stop_at, self.now + left - 2 * self.set.step - 0.001))
         if cls.in_order and req.key:
             turn = self.turns.setdefault(req.key, deque())
             turn.append(job)
@@ -135,6 +139,12 @@
                 return
         self._queue(job)
 
+    def _end_by(self, job: Job, at: float) -> None:
+        """Guard 1: its final answer leaves by then, two steps before its time is up."""
+        if at < job.end_at:
+            job.end_at = at
+            heapq.heappush(self.ends, (at, next(self.count), job))
+
     def _flow(self, req: api.Request) -> Flow:
         if (volume := self.volumes.get((req.plan, req.volume))) is None:
             plan = self.set.plans.get(req.plan) or api.Plan(req.plan)
--- a/ochrespan/state.py
+++ b/ochrespan/state.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from math import inf
 
 from . import interface as api
 
@@ -73,7 +74,7 @@
     flow: Flow
     taken_at: float
     aim_at: float
-    end_at: float
+    end_at: float = inf
     promoted: bool = False
     done: bool = False
     attempts: int = 0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -31,6 +31,19 @@
     assert name in head.finals and not head.sent(name)
 
 
+def test_all_that_is_held_or_still_comes_ends_with_the_head():
+    head = Head()
+    held, hanging = head.take("once"), head.take()
+    head.give(api.Ending(head.now + 0.3))
+    head.answer(head.take())  # still served
+    head.wait(0.2)
+    assert not head.finals
+    head.wait(0.11)
+    assert isinstance(head.finals[held], api.Fail) and isinstance(head.finals[hanging], api.Refuse)
+    late = head.take()
+    assert isinstance(head.finals[late], api.Refuse) and not head.sent(late)
+
+
 def test_a_hanging_safe_attempt_ends_by_the_timer_and_nothing_follows():
     head = Head()
     name = head.take()
