Estimate the work of a unit for each class, with units taken as rounded up

Printed latencies of answers by class and units (ms, median): reads of 1, 2, 3, 4 units 8, 29, 46, 56; writes 5, 16, 24, 26; exports 6, 18, 25, 37. That is 17, 10 and 11 ms times (units - 1/2). Cause: policy.py kept one least latency of a unit for each node, over all classes, and multiplied it by the units. Also: Directory forgets chunk servers that discovery says are gone; it kept their nodes and addresses for good. Each test fails without its change.

--- a/ochrespan/net/discovery.py
+++ b/ochrespan/net/discovery.py
@@ -64,10 +64,11 @@
             self._nodes = {}
         for node, address in read:
             self._nodes[node.id] = node
-            if address:  # kept after a removal: an attempt may just be on its way there
+            if address:
                 self.addresses[node.id] = address
-        if complete:
-            self.addresses = {i: a for i, a in self.addresses.items() if i in self._nodes}
+            if node.state is NodeState.GONE:  # new ones come under new ids all day: nothing of the old may stay.
+                del self._nodes[node.id]  # An attempt just on its way there finds no address, and never ran.
+        self.addresses = {i: a for i, a in self.addresses.items() if i in self._nodes}
         self.shards = {}
         for node in self._nodes.values():
             if node.state is NodeState.READY:
--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -208,7 +208,7 @@
         node.out -= 1
         self.touched |= dict.fromkeys(s for s in (node.entry.shard, ANY) if s in self.lanes)
         if got.status is Status.OK:
-            self._served(node, got.latency, job.req.units, sent_at)
+            self._served(node, got.latency, job.req, sent_at)
             job.flow.over += self.now - job.taken_at - job.cls.aim
         elif got.status not in (Status.MOOT, Status.CANCELLED):  # these tell nothing of the node
             self._failed(node, got, sent_at)
@@ -223,19 +223,19 @@
         else:
             self._queue(job, first=True)
 
-    def _served(self, node: Node, latency: float, units: float, sent_at: float) -> None:
+    def _served(self, node: Node, latency: float, req: api.Request, sent_at: float) -> None:
         """What an answer tells: the node's speed and queue wait, and the window that they lead."""
         if node.fails >= FAILS:
             self.acts.append(api.Log(f"node {node.entry.id} answers again"))
         node.fails, node.answered_to = 0, max(node.answered_to, sent_at)
         self.lossy -= SMOOTH * self.lossy
-        x = latency / max(1.0, units)
-        node.best = node.best or x
-        node.best += (SMOOTH if x < node.best else SMOOTH / 5) * (x - node.best)
+        x = latency / self._work(req)
+        best = node.best.get(req.cls) or x
+        best = node.best[req.cls] = best + (SMOOTH if x < best else SMOOTH / 5) * (x - best)
         keep = (1 - SMOOTH) * exp((node.seen_at - self.now) / (2 * self.patience))
-        node.wait = keep * node.wait + (1 - keep) * max(0.0, latency - node.best * units)
+        node.wait = keep * node.wait + (1 - keep) * max(0.0, latency - best * self._work(req))
         node.seen_at = self.now
-        if x > WINDOW_TOLERANCE * node.best:
+        if x > WINDOW_TOLERANCE * best:
             node.window = max(1.0, node.window - 1.0 / node.window)
         elif node.out + 1 >= int(node.window):
             node.window = min(WINDOW_CAP, node.window + 1.0 / node.window)
@@ -341,7 +341,15 @@
                 del queues[flow]
 
     def _need(self, node: Node, job: Job) -> float:
-        return min(node.best * job.req.units, job.cls.aim / 2)  # one bad estimate must not starve a node
+        best = node.best.get(job.req.cls) or self._pace(node)
+        return min(best * self._work(job.req), job.cls.aim / 2)  # one bad estimate must not starve a node
+
+    def _work(self, req: api.Request) -> float:
+        """In units: they are told rounded up, by half of one on average."""
+        return max(0.5, req.units - 0.5)
+
+    def _pace(self, node: Node) -> float:
+        return min(node.best.values(), default=0.0)
 
     def _reserved(self, job: Job) -> bool:
         return job.flow.volume.reserve.have(self.now) >= job.req.units
@@ -365,7 +373,7 @@
             if shard == ANY:  # by lot: heads share nothing and would all flock to the one best node
                 nodes = self.random.sample(nodes, min(CHOICES, len(nodes)))
             self._promote(lane, sum(ceil(node.window) for node in nodes) or 1)
-            for node in sorted(nodes, key=lambda n: (self._wait(n) + (n.out + 1) * n.best, n.out)):
+            for node in sorted(nodes, key=lambda n: (self._wait(n) + (n.out + 1) * self._pace(n), n.out)):
                 while node.out < (1 if node.fails > 1 else int(node.window)):
                     if (job := self._pick(node)) is None:
                         break
--- a/ochrespan/state.py
+++ b/ochrespan/state.py
@@ -99,7 +99,7 @@
     usable: bool = True
     window: float = 0.0
     out: int = 0  # attempts
-    best: float = 0.0  # about the least latency of a unit: the work itself
+    best: dict[str, float] = field(default_factory=dict)  # by class: about the least latency of a unit's work
     wait: float = 0.0  # in its queue, smoothed, as of seen_at
     seen_at: float = 0.0
     answered_to: float = 0.0  # when the latest attempt was sent that it answered
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,6 +7,8 @@
 import aiohttp
 import pytest
 
+from ochrespan.net.discovery import Directory
+
 from .world import KEY, VOLUME, World, ask_headers, free_port, play, until
 
 BODY = bytes(range(256)) * 256  # 64 KiB
@@ -200,6 +202,18 @@
     play(story())
 
 
+def test_nothing_is_kept_of_a_chunk_server_that_is_gone():
+    directory, listing = Directory(), {"revision": 1, "complete": True, "members": []}
+    for number in range(3):
+        up, gone = ({"id": f"s-{n}", "host_port": "127.0.0.1:1", "cell": 0, "phase": phase}
+                    for n, phase in ((number, "up"), (number - 1, "removed")))
+        kind, nodes = directory.apply(listing | {"members": [up, gone]})
+        listing = {"revision": number + 2, "complete": False}
+        assert [node.id for node in nodes] == [up["id"], gone["id"]]
+        assert list(directory.addresses) == directory.shards[0] == [up["id"]]
+        assert list(directory._nodes) == [up["id"]]
+
+
 def test_sigterm_answers_what_is_held_and_what_still_arrives_then_exits_0():
     async def story():
         async with World(1) as world:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -296,7 +296,7 @@
     head.wait(0.6)  # the aim of what waits has passed
     waiting = [n for n in names if not head.sent(n)]
     assert waiting and all(isinstance(head.finals[n], api.Refuse) for n in waiting)
-    head.head.nodes["n0"].best = 9.0  # a wrong estimate
+    head.head.nodes["n0"].best["read"] = 9.0  # a wrong estimate
     for name in [n for n in names if head.sent(n)]:
         head.answer(name)
     assert head.sent(head.take())
@@ -417,10 +417,22 @@
     assert len(head.sent(once)) == 1
 
 
+def test_the_work_of_one_class_is_not_taken_for_a_queue_in_another():
+    """Reads take twice as long a unit as the rest, and units are told rounded up: neither is a sign of load."""
+    head = Head(nodes=1)
+    for _ in range(30):
+        for cls, units, latency in (("save", 2, 0.015), ("read", 1, 0.01), ("read", 2, 0.03), ("read", 3, 0.05)):
+            name = head.take(cls, units=units)
+            head.give(api.Outcome(name, 0, "n0", Status.OK, latency, closed=True))
+            head.now += 0.05
+    node = head.head.nodes["n0"]
+    assert node.wait < 0.001 and node.window >= 3
+
+
 def test_a_node_is_not_starved_for_good_by_one_bad_estimate():
     head = Head()
     head.answer(head.take())
-    head.head.nodes["n0"].best = 50.0
+    head.head.nodes["n0"].best["read"] = 50.0
     assert head.sent(head.take(units=8))
 
 
