Read load reports under the names that the settings give their figures

Seen: every load report that reached the core was empty. The table now stands in settings.py for both. The test fails without the change.

--- a/examples/toy.py
+++ b/examples/toy.py
@@ -33,7 +33,7 @@
             await asyncio.sleep(self.slow)
         finally:
             self.working -= 1
-        load = {"Endpoint-Load-Metrics": f"TEXT queue={self.working}, util={min(1.0, self.working / 4):.2f}"}
+        load = {"Endpoint-Load-Metrics": f"TEXT depth={self.working}, load_share={min(1.0, self.working / 4):.2f}"}
         print(f"shard {self.shard}: {request.method} {request.path}", flush=True)
         if request.method == "PUT":
             self.kept[request.path] = body
--- a/ochrespan/net/chunks.py
+++ b/ochrespan/net/chunks.py
@@ -16,13 +16,12 @@
 from yarl import URL
 
 from ..broker import Attempt, Broker, Failed, Outcome, Refused, Request, Status
-from ..settings import Links
+from ..settings import REPORT_NAMES, Links
 from .answers import AnswerHandler, Spoilt, Stale
 from .discovery import Directory
 
 log = logging.getLogger(__name__)
 
-LOAD = {"inflight", "queue", "util", "latency_ms", "qps", "eps"}
 # of the time after which chunk servers close idle connections. Nothing is sent on one that was idle for longer;
 # aiohttp sweeps the pool only once in that span, so the last of them is closed after up to twice as long.
 IDLE_PART = 0.4
@@ -127,8 +126,8 @@
             number = float(figure)
         except ValueError:
             continue
-        if name in LOAD and math.isfinite(number):
-            found[name] = number
+        if name in REPORT_NAMES and math.isfinite(number):
+            found[REPORT_NAMES[name]] = number
     return found
 
 
--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -346,8 +346,8 @@
                 del queues[flow]
 
     def _absence(self, shard: int) -> float:
-        """Exception: a shard that lacks a node for longer than the shortest aim will not have one in time; what is
-        held for it takes the connections that clients need for the others."""
+        """Exception: a shard that lacks a node for longer than the shortest aim will not have one in time;
+        what is held for it takes the connections that clients need for the others."""
         if shard == ANY:
             return 0.0
         return inf if self.now - self.bare.setdefault(shard, self.now) > self.patience else 0.0
--- a/ochrespan/settings.py
+++ b/ochrespan/settings.py
@@ -14,6 +14,15 @@
 
 EFFECTS = {"free": api.Effect.SAFE, "guarded": api.Effect.KEYED, "single_shot": api.Effect.UNSAFE}
 GROUPS = {"all": api.Group.ALL, "zone": api.Group.ZONE, "cell": api.Group.CELL}
+# the figures of a load report, as the settings and both wires name them, and as we do
+REPORT_NAMES = {
+    "concurrent": "inflight",
+    "depth": "queue",
+    "load_share": "util",
+    "mean_ms": "latency_ms",
+    "tps": "qps",
+    "err_ps": "eps",
+}
 Fields = dict[str, str]
 
 
--- a/ochrespan/simhost.py
+++ b/ochrespan/simhost.py
@@ -12,7 +12,7 @@
 
 from . import interface as api
 from .policy import Scheduler
-from .settings import NS, Fields, Malformed, flag, number, pairs, read_settings, seconds, text, told
+from .settings import NS, REPORT_NAMES, Fields, Malformed, flag, number, pairs, read_settings, seconds, text, told
 
 STATUSES = {
     "delivered": api.Status.OK,
@@ -31,14 +31,6 @@
     "restored": api.ListKind.CACHED,
     "unavailable": api.ListKind.FAILED,
 }
-REPORT_NAMES = {
-    "concurrent": "inflight",
-    "depth": "queue",
-    "load_share": "util",
-    "mean_ms": "latency_ms",
-    "tps": "qps",
-    "err_ps": "eps",
-}
 
 def read_request(got: Fields) -> api.Request:
     return api.Request(
--- a/tests/test_chunks.py
+++ b/tests/test_chunks.py
@@ -168,5 +168,6 @@
 
 
 def test_load_reports_are_read_as_far_as_they_can_be():
-    assert read_load("TEXT inflight=7, queue=2, util=0.61") == {"inflight": 7, "queue": 2, "util": 0.61}
-    assert read_load("TEXT queue=nan, util=, odd=3, qps=1e999,=") == {}
+    # the names are those of the settings' Report.Columns; under others every figure was dropped
+    assert read_load("TEXT concurrent=7, depth=2, load_share=0.61") == {"inflight": 7, "queue": 2, "util": 0.61}
+    assert read_load("TEXT depth=nan, load_share=, odd=3, tps=1e999,=") == {}
--- a/tests/world.py
+++ b/tests/world.py
@@ -131,7 +131,7 @@
             answer = answer[:-1] + bytes([answer[-1] ^ 1])
         lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(answer)}"]
         lines += ["X-Never-Ran: 1"] if status == 503 else []
-        lines += ["Endpoint-Load-Metrics: TEXT inflight=1, queue=2, util=0.5, odd=nan"]
+        lines += ["Endpoint-Load-Metrics: TEXT concurrent=1, depth=2, load_share=0.5, odd=nan"]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + answer[:len(answer) // 2])
         await writer.drain()
         if act == "half":
