Judge overdue attempts by the quickest class's work, which is known sooner

Seen: tests/test_objects.py, a stalled chunk was no longer tried again within its aim, in the full run of the tests. Cause: with the work of a unit kept for each class, the first reads of a small record (0.1 s for one unit) set that of reads far too high for a while; four times the work of a whole chunk was then beyond its aim. Now policy.py _send takes the least work of a unit over all classes for this one limit, as it was before.

--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -468,7 +468,8 @@
         job.out[job.attempts] = self.now
         job.attempts, node.out = job.attempts + 1, node.out + 1
         # exception: where answers get lost (a later send's came), an attempt overdue by far is tried again
-        soon = LOST * (self._wait(node) + self._need(node, job)) if self.lossy > LOSSY and node.best else inf
+        need = min(self._pace(node) * self._work(req), job.cls.aim / 2)  # known sooner than that of one class
+        soon = LOST * (self._wait(node) + need) if self.lossy > LOSSY and node.best else inf
         # exception: what is past its aim would only hold up what is queued behind it
         within = max(self.set.step, min(job.aim_at - self.now, job.end_at - self.now, soon))
         self.acts.append(api.Send(req.id, node.entry.id, within))
