Let quiet client connections go after 2 s, and sooner where they take half of what clients hold

The fronts answered some 60 requests a second and were idle: 0 to 4 requests at work, 0.1 to 0.2 s of processor in 0.8 s. Printed by state: 126 connections between requests and 2 at work, 128 together, all that clients may hold at 384 descriptors, for seconds on end. Cause: guard.py kept a connection for 5 s between requests. Clients that ask once and stay filled the 128, and the rest had to wait until one of theirs went. The bound of listener.py looks at all descriptors and never came into play. Ruled out: the processor (py-spy: no part over 14%), full descriptors (listening all the time), lateness of the loop (1 ms). Both cases of the test fail without the change.

--- a/ochrespan/__main__.py
+++ b/ochrespan/__main__.py
@@ -114,7 +114,7 @@
         listeners: list[Listener] = []
         most = (told.sockets - outgoing - RESERVE) // len(fronts)
         for handle, address, most_body in fronts:
-            listeners.append(Listener(handle, most, most_body))
+            listeners.append(Listener(handle, most, most_body, outgoing // 2))
             await listeners[-1].open(address)
             stack.push_async_callback(listeners[-1].shutdown, GRACE)
         tasks = [asyncio.create_task(job) for job in jobs]
--- a/ochrespan/net/guard.py
+++ b/ochrespan/net/guard.py
@@ -17,7 +17,7 @@
 from .framing import Framer, Unreadable
 
 REQUEST_TIME = timedelta(seconds=2)  # from connecting, or from its first byte, to the end of a request
-IDLE_TIME = timedelta(seconds=5)  # between requests
+IDLE_TIME = timedelta(seconds=2)  # between requests
 LINGER = timedelta(seconds=1)  # for a client to read the error that ends its connection
 MOST_DISCARDED = 256 * 1024  # bytes read and thrown away meanwhile
 MOST_AHEAD = 16 * 1024  # bytes kept that come while a request is being answered
--- a/ochrespan/net/listener.py
+++ b/ochrespan/net/listener.py
@@ -34,12 +34,14 @@
 
     def __init__(
         self, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], most: int,
-        most_body: int | None = None,
+        most_body: int | None = None, most_quiet: int | None = None,
     ) -> None:
+        """`most_quiet`: so many connections between requests are kept; those beyond go before their time."""
         self._server = web.Server(
             self._tracked, handler_cancellation=True, access_log=None, auto_decompress=False,
             lingering_time=LINGER.total_seconds())
         self._handler, self._most, self._most_body = handler, max(1, most), most_body
+        self._most_quiet = most if most_quiet is None else most_quiet
         self._held: dict[State, dict[Guard, None]] = {state: {} for state in State}  # the longest in a state first
         self._states: dict[Guard, State] = {}
         self._guards: dict[Any, Guard] = {}  # by aiohttp's handler
@@ -72,6 +74,9 @@
         self._held[guard.state][guard] = None
         if guard.handler is not None:
             self._guards[guard.handler] = guard
+        # clients hold a bounded number of connections: those that ask once and stay would leave the others none
+        if guard.state is State.QUIET and len(self._held[State.QUIET]) > self._most_quiet:
+            self._spare(State.QUIET)
 
     def _accept(self) -> None:
         assert self._socket is not None
@@ -98,12 +103,15 @@
             log.warning("a connection was lost as it came", extra={"why": repr(why)})
 
     def _make_room(self) -> bool:
-        for state, age in SPARE.items():
-            oldest = next((guard for guard in self._held[state] if not guard.closing), None)
-            if oldest is not None and self._loop.time() - oldest.since > age.total_seconds():
-                oldest.expire()
-                return True
-        return False
+        return any(map(self._spare, SPARE))
+
+    def _spare(self, state: State) -> bool:
+        """Whether one in this state could go: the one that has been in it for longest, if that is long enough."""
+        oldest = next((guard for guard in self._held[state] if not guard.closing), None)
+        if oldest is None or self._loop.time() - oldest.since <= SPARE[state].total_seconds():
+            return False
+        oldest.expire()
+        return True
 
     def _listen(self) -> None:
         if self._socket is not None and not self._listening:
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -1,6 +1,7 @@
 """Clients that send what is no request, too much, too little, or nothing at all."""
 
 import asyncio
+import time
 from pathlib import Path
 
 import pytest
@@ -110,6 +111,32 @@
     play(story())
 
 
+@pytest.mark.parametrize(("others", "least", "most"), [(0, 1.9, 4.5), (40, 0.0, 1.9)])
+def test_a_connection_is_kept_for_2_s_between_requests_unless_many_are(others, least, most):
+    """Clients that asked once and stayed held all that clients may hold: the others had no connection left."""
+    async def story():
+        world = World(1)
+        world.sockets = 240  # of which clients may hold 80
+        async with world:
+            world.nodes[0].always = "any"
+
+            async def once(name: str):
+                reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+                writer.write(raw("GET", **{"X-Trace-Id": name}))
+                await reader.readuntil(b"\r\n\r\n")
+                return reader, writer, time.monotonic()
+
+            reader, _, began = await once("first")
+            await asyncio.sleep(0.4)
+            kept = await asyncio.gather(*(once(f"t{number}") for number in range(others)))
+            await asyncio.wait_for(reader.read(), 20)
+            await asyncio.wait_for(reader.read(), 20)
+            assert least < time.monotonic() - began < most
+            assert len(kept) == others
+
+    play(story())
+
+
 def test_a_request_in_small_pieces_is_served_and_so_is_the_next():
     async def story():
         async with World(1) as world:
