Spread list calls by lot over the fleet's size, and back off under the same bound

At fault: `ask_at = now` at the start and WAIT_FIRST, WAIT_MOST = 0.1, 2.0 in policy.py, the same for any fleet.

Checked and ruled out: shorter watches (wait_ms=500: 15 fronts let in, then none: 912 calls failed) and sooner repeats (2 s -> 0.2 s: 1,830 failed, still 4 fronts told).

--- /dev/null
+++ b/ochrespan/asking.py
@@ -0,0 +1,44 @@
+"""When a head asks for the list: a plan of calls without I/O, which hears what came of them and is given the time.
+
+Discovery is one service for all heads and takes calls in turn. Where more come than it can take, each waits until
+it has waited too long and fails, and its repeat is one more in the queue: a fleet whose heads each repeat soon
+keeps such a queue full for good, and none of them hears of anything. So the plan reckons with all heads: they
+start in one moment, or lose their watches in one moment, and what they ask in a second together has to stay
+under what discovery takes. Nothing waits for it: the list that is known is used meanwhile.
+"""
+
+from __future__ import annotations
+
+from math import inf
+from random import Random
+
+EACH = 0.1  # s of discovery's time that a head reckons with for each other head's call
+LEAST, MOST = 0.1, 2.0  # s, the shortest wait, and the bound of the longest one where few heads ask
+PART = 0.4  # of the time that the rules allow without asking: bounds the first waits; twice that, all
+
+
+class Asking:
+    """Phases: waiting to ask (`at` says when), asked, and watching; `at` is infinite while nothing is planned."""
+
+    def __init__(self, heads: int, within: float | None, lot: Random, now: float) -> None:
+        self._within, self._lot = within, lot
+        self._crowd = min(EACH * max(0, heads - 1), PART * (within or inf))
+        self._most = max(MOST, 2 * self._crowd)
+        self._wait = max(2 * LEAST, self._crowd)
+        self.at = now + self._crowd * lot.random()  # heads may all have started now
+
+    def due(self, now: float) -> bool:
+        """Whether to ask now. Counts as asked; asks again if nothing is heard for half of what the rules allow."""
+        if now < self.at:
+            return False
+        self.at = now + (self._within or inf) / 2
+        return True
+
+    def failed(self, now: float) -> None:
+        """A call failed or a watch broke: waits by lot, under a bound that doubles with each failure in a row."""
+        self.at = now + max(LEAST, self._wait * self._lot.random())
+        self._wait = min(self._most, 2 * self._wait)
+
+    def told(self) -> None:
+        """An answer came: the watch stands, and nothing is asked until it breaks."""
+        self.at, self._wait = inf, max(2 * LEAST, self._crowd)
--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -14,6 +14,7 @@
 from math import ceil, exp, inf
 
 from . import interface as api
+from .asking import Asking
 from .interface import Effect, Group, ListKind, NodeState, Status
 from .state import Flow, Job, Lane, Node, Queues, Recent, Store, Volume
 
@@ -27,7 +28,6 @@
 CHOICES = 5  # nodes looked at for a new object
 IDLE_FLOW = 30.0  # s, after which an idle flow leaves the table
 TICK = 0.02  # s between looks at what waits
-WAIT_FIRST, WAIT_MOST = 0.1, 2.0  # s, least and longest wait between asks for the list
 FAILS = 4  # failures in a row from which the back-off stays; worth a log line
 COLD_SAFETY = 0.8  # part of the cold budget that is used: chance and handshakes take the rest
 USUAL = 0.9  # kept from round to round of what was asked of each shard: ten seconds tell what is usual
@@ -54,7 +54,9 @@
         self.longest: dict[str, float] = {}  # by class: the most time that a request came with
         self.ends: list[tuple[float, int, Job]] = []
         self.count, self.eta_top, self.round_at, self.wake = count(), 0.0, now + ROUND, -inf
-        self.ask_at, self.ask_wait = now if settings.list_on_request else inf, WAIT_FIRST
+        self.asking = Asking(settings.heads, settings.ask_within, self.random, now)
+        if not settings.list_on_request:
+            self.asking.told()
         self.acts: list[api.Action] = []
         self.most_worth = max([c.worth for c in settings.classes.values()] or [1.0])
         self.most_worth *= max([p.price for p in settings.plans.values()] or [1.0])
@@ -93,9 +95,8 @@
                 self._finish(job)
         if self.now >= self.round_at:
             self._round()
-        if self.now >= self.ask_at:
+        if self.asking.due(self.now):
             self.acts.append(api.WatchList())
-            self.ask_at = self.now + (self.set.ask_within or inf) / 2  # unless an answer comes first
         if self.now >= self.tick_at:
             self.tick_at = self.now + TICK
             self.touched.update(dict.fromkeys(self.lanes))
@@ -123,7 +124,7 @@
         self.taken.total(self.now, self.set.extra_window or 0.0)  # forgets the rest
 
     def _set_timer(self) -> None:
-        want = min(self.round_at, self.ask_at, self.tick_at if self.lanes else inf)
+        want = min(self.round_at, self.asking.at, self.tick_at if self.lanes else inf)
         want = max(self.now, min(want, self.ends[0][0] if self.ends else inf))
         if self.wake <= self.now + 1e-6 or want < self.wake:  # a rounded clock must not lose the timer
             self.wake = want
@@ -279,12 +280,11 @@
 
     def _list(self, got: api.NodeList) -> None:
         if got.kind is ListKind.FAILED:
-            if self.set.list_on_request:  # jitter: heads fail together
-                self.ask_at = self.now + self.ask_wait * (1 + self.random.random())
-                self.ask_wait = min(WAIT_MOST, 2 * self.ask_wait)
+            if self.set.list_on_request:
+                self.asking.failed(self.now)
             return
         if got.kind is not ListKind.CACHED:
-            self.ask_at, self.ask_wait = inf, WAIT_FIRST
+            self.asking.told()
         if got.kind is not ListKind.DELTA:
             for node in self.nodes.values():
                 node.usable = False  # what a complete list does not name is gone
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -147,6 +147,7 @@
 def test_the_list_is_watched_and_asked_for_again_after_failure():
     head = Head(list_on_request=True, ask_within=10.0)
     asks = lambda: sum(isinstance(a, api.WatchList) for a in head.actions)  # noqa: E731
+    head.wait(0.11)  # by lot: another head may start now too
     assert asks() == 1
     head.give(NodeList(ListKind.FAILED))
     head.wait(0.09)
