Let a cold chunk server take what is asked of it as far as warm ones tell how much that is

Fronts that ended most had a small usual share of the shard: the busiest front of a volume changes. At fault: the blind part in `_cold_left` is a promise for the worst load (3 to 8 units a second where 20 are usual), and few answers teach a front with few requests to exceed it.

Changed: where warm servers report how busy they are, a front lets through what is asked of it, times the cold server's power by its age, over that busyness: all fronts together keep it about 0.9 busy, where it falls over at 4. Its own reports halve or double this, from a quarter to four times. Units not used add up to one window's part. Without reports the promise stays the bound.

--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -30,9 +30,10 @@
 TICK = 0.02  # s between looks at what waits
 FAILS = 4  # failures in a row from which the back-off stays; worth a log line
 COLD_SAFETY = 0.8  # part of the cold budget that is used: chance and handshakes take the rest
-USUAL = 0.9  # kept from round to round of what was asked of each shard: ten seconds tell what is usual
+COLD_LOAD = 0.9  # how busy a cold node may get, by how busy warm ones are with what is asked of them
+USUAL = 0.8  # kept from round to round of what was asked of each shard: five seconds tell what is usual
 UNKNOWN = 10.0  # requests, spread evenly over all shards, that stand for what we have not seen yet
-EASY = 0.7  # a cold node that reports to be busy for less than this, and no queue, bears twice as much
+EASY = 0.7  # a cold node that reports to be busy for less than this, and no queue, bears more
 LOST, LOSSY = 4.0, 0.02  # multiple of what an attempt should take; part of answers lost that makes it act
 ANY = -1  # the shard of new objects
 HUNG = {Status.TIMEOUT, Status.RESET, Status.CANCELLED, Status.UNKNOWN}  # may still be running
@@ -65,8 +66,9 @@
         self.by_shard: dict[int, list[Node]] = {}  # the usable ones
         self.bare: dict[int, float] = {}  # shards that are asked for and have none, and since when
         self.touched: dict[int, None] = {}  # shards to look at: a batch costs no more than what it touches
-        self.asked: dict[int, float] = {}  # units, by shard, of late
-        self.asked_all = 0.0
+        self.asked: dict[int, float] = {}  # units, by shard; what is past counts for less and less
+        self.asked_all, self.rounds = 0.0, 1.0  # likewise
+        self.busy: float | None = None  # how much warm nodes report to be
         self.lossy = 0.0  # part of attempts that timed out though a later send was answered
         self.tick_at = now  # next look at all that waits
         self.stop_at = inf  # when the head ends
@@ -117,7 +119,7 @@
         self.rest_until = {key: at for key, at in self.rest_until.items() if at > self.now}
         self.nodes = {i: node for i, node in self.nodes.items() if node.usable or node.out}
         self.asked = {shard: USUAL * units for shard, units in self.asked.items() if units > 0.01}
-        self.asked_all = sum(self.asked.values())
+        self.asked_all, self.rounds = sum(self.asked.values()), USUAL * self.rounds + 1
         live = {key[:2] for key in self.flows}
         self.volumes = {k: v for k, v in self.volumes.items()  # a full store can be made anew as it was
                         if k in live or (v.limit and v.limit.have(self.now) < v.limit.burst)}
@@ -427,22 +429,30 @@
         allowed = (self.set.extra_free or 0.0) + (self.set.extra_share or 0.0) * taken
         return self.extras.total(self.now, span + self.set.step) + 1 <= allowed
 
+    def _warm(self, node: Node) -> bool:
+        started, s = node.entry.started_at, self.set
+        return started is None or self.now - started >= (s.warm_up or 0.0) + (s.overload_window or 0.0)
+
     def _cold_left(self, node: Node, units: float) -> bool:
         """Guard 4: our part of what a cold node bears, growing as the slowest warm-up allows."""
         s, started, window = self.set, node.entry.started_at, self.set.overload_window
         if s.cold_units is None or not window or not s.warm_up:
             return True
         sent = node.sent.total(self.now, window)
-        if started is None or (age := self.now - started - window) >= s.warm_up:
+        if started is None or self._warm(node):
             return True
-        grown = 1 + (1 / (s.start_capacity or 1.0) - 1) * max(0.0, age) / s.warm_up
-        part = COLD_SAFETY * s.cold_units * min(1.0, node.ease * self._part(node.entry.shard)) * grown
+        start = s.start_capacity or 1.0
+        power = start + (1 - start) * max(0.0, self.now - started - window) / s.warm_up
+        part = COLD_SAFETY * s.cold_units * min(1.0, self._part(node.entry.shard)) * power / start
+        if self.busy is not None:  # the promise stands for the worst of loads; this one is known
+            usual = self.asked.get(node.entry.shard, 0.0) / self.rounds * window / ROUND
+            part = max(part, node.ease * COLD_LOAD * power * usual / max(self.busy, 1 - EASY))
         if part < s.most_units:
             # one request at a time, each paid for over as many windows as it takes; the first waits by lot,
             # so that of all heads only as many begin in one window as the node bears
             if node.paid_at is None:
                 node.unpaid, node.paid_at = self.random.random() * s.mean_units, self.now
-            node.unpaid -= part * (self.now - node.paid_at) / window
+            node.unpaid = max(-part, node.unpaid - part * (self.now - node.paid_at) / window)
             node.paid_at = self.now
             return node.unpaid <= 0
         return sent + units <= part
@@ -460,10 +470,13 @@
         more from each head, twice as much after each window; one that has none, as if it told nothing."""
         if (util := report.get("util")) is None:
             return
-        if util >= EASY or report.get("queue"):
-            node.ease = max(1.0, node.ease / 2)
+        if self._warm(node):
+            busy = 1.0 if self.busy is None else self.busy
+            self.busy = busy + SMOOTH * (util - busy)
+        elif util >= EASY or report.get("queue"):
+            node.ease = max(0.25, node.ease / 2)
         elif self.now >= node.eased_at + (self.set.overload_window or 0.0):
-            node.ease, node.eased_at = min(2 * node.ease, max(1, self.set.heads)), self.now
+            node.ease, node.eased_at = min(2 * node.ease, 4.0), self.now
 
     def _blocked(self, job: Job, node: Node) -> bool:
         """Whether a rule forbids this send now."""
@@ -495,7 +508,8 @@
                     store.level -= req.units
         if self.set.overload_window:  # guard 4 counts it
             node.sent.add(self.now, req.units)
-            node.paid_at, node.unpaid = self.now, req.units
+            node.unpaid += req.units
+            node.paid_at = self.now
         flow.a, flow.used_at = flow.a + 1, self.now
         job.out[job.attempts] = self.now
         job.attempts, node.out = job.attempts + 1, node.out + 1
