Start windows at few requests over all fronts, and narrow them on a reported queue

A dozen fronts before each server each began with 3 requests out, and each narrowed only after its own late answers, one in a second or two. At fault: WINDOW_START = 3 for any number of heads, and `_served`, which did not look at the `queue` that each answer reports for all fronts.

Changed: windows start at a few, but under 12 requests by all heads together (one from 12 heads on; 3 for up to four as before), and a reported queue narrows a window as a late answer does.

--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -22,8 +22,9 @@
 GAMMA = 0.5  # gain added after a round in which the flow's mean latency missed its aim
 ROUND = 1.0  # s, length of an ARR round
 LEXAS_MAX, LEXAS_MIN = 50.0, 100.0  # summed deficit under T_max, gap to the top eta, in units over weight
-# requests out at one node; a window widens while latency per unit is under this multiple of the least
-WINDOW_START, WINDOW_CAP, WINDOW_TOLERANCE = 3.0, 32.0, 1.5
+# requests out at one node; a window widens while latency per unit is under this multiple of the least, and
+# starts at a few, but under so many by all heads together
+WINDOW_START, WINDOW_CAP, WINDOW_TOLERANCE, WINDOW_ALL = 3.0, 32.0, 1.5, 12.0
 SMOOTH = 0.15  # part of a new answer in smoothed figures; the least latency rises by a fifth of that
 CHOICES = 5  # nodes looked at for a new object
 IDLE_FLOW = 30.0  # s, after which an idle flow leaves the table
@@ -224,7 +225,7 @@
         self.touched |= dict.fromkeys(s for s in (node.entry.shard, ANY) if s in self.lanes)
         self._reported(node, got.report)
         if got.status is Status.OK:
-            self._served(node, got.latency, job.req, sent_at)
+            self._served(node, got.latency, job.req, sent_at, got.report.get("queue", 0.0))
             job.flow.over += self.now - job.taken_at - job.cls.aim
         elif got.status not in (Status.MOOT, Status.CANCELLED):  # these tell nothing of the node
             self._failed(node, got, sent_at)
@@ -239,7 +240,7 @@
         else:
             self._queue(job, first=True)
 
-    def _served(self, node: Node, latency: float, req: api.Request, sent_at: float) -> None:
+    def _served(self, node: Node, latency: float, req: api.Request, sent_at: float, queue: float) -> None:
         """What an answer tells: the node's speed and queue wait, and the window that they lead."""
         if node.fails >= FAILS:
             self.acts.append(api.Log(f"node {node.entry.id} answers again"))
@@ -251,7 +252,7 @@
         keep = (1 - SMOOTH) * exp((node.seen_at - self.now) / (2 * self.patience))
         node.wait = keep * node.wait + (1 - keep) * max(0.0, latency - best * self._work(req))
         node.seen_at = self.now
-        if x > WINDOW_TOLERANCE * best:
+        if x > WINDOW_TOLERANCE * best or queue:  # also one that others made, which few answers tell of
             node.window = max(1.0, node.window - 1.0 / node.window)
         elif node.out + 1 >= int(node.window):
             node.window = min(WINDOW_CAP, node.window + 1.0 / node.window)
@@ -295,7 +296,8 @@
             if node is None or entry.started_at != node.entry.started_at:
                 # guard 4: what an earlier life of ours knew begins with its budget spent
                 out, sent = (node.out, node.sent) if node else (0, Recent())
-                node = self.nodes[entry.id] = Node(entry, window=WINDOW_START, sent=sent, out=out)
+                window = max(1.0, min(WINDOW_START, WINDOW_ALL / max(1, self.set.heads)))
+                node = self.nodes[entry.id] = Node(entry, window=window, sent=sent, out=out)
                 if got.kind is ListKind.CACHED:
                     sent.add(self.now, inf)
             node.entry, node.usable = entry, entry.state is NodeState.READY
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -108,3 +108,27 @@
     # what is asked of a server is 40 a second
     assert early >= (0.55 if reports else 0.2) * 40 * 5 * len(fresh)
     assert late >= 0.85 * 40 * 2 * len(fresh)
+
+
+@pytest.mark.parametrize(("heads", "first"), [(1, 3), (4, 3), (8, 1), (40, 1), (200, 1)])
+def test_a_head_of_many_begins_with_few_requests_out_at_a_server(heads, first):
+    head = Scheduler(settings(heads=heads), 100.0)
+    head.handle(100.0, [NodeList(ListKind.FULL, [entry(0)])])
+    acts = head.handle(100.0, [api.Request(f"r{i}", "v", "read", "free", 4.0, 2, 0) for i in range(9)])
+    assert sum(isinstance(act, api.Send) for act in acts) == first
+
+
+@pytest.mark.parametrize(("queue", "widens"), [(None, True), (0.0, True), (2.0, False)])
+def test_a_queue_that_other_heads_made_narrows_the_window_before_our_own_answers_are_late(queue, widens):
+    head = Scheduler(settings(heads=40), 100.0)
+    head.handle(100.0, [NodeList(ListKind.FULL, [entry(0)])])
+    report = {} if queue is None else {"queue": queue}
+    for turn in range(20):
+        now = 100.0 + turn
+        asked = [api.Request(f"r{turn}-{i}", "v", "read", "free", 4.0, 2, 0) for i in range(9)]
+        sends = [act for act in head.handle(now, asked) if isinstance(act, api.Send)]
+        while sends:
+            name = sends.pop().request_id
+            acts = head.handle(now + 0.05, [api.Outcome(name, 0, "n0", Status.OK, 0.05, True, report)])
+            sends += [act for act in acts if isinstance(act, api.Send)]
+    assert (head.nodes["n0"].window > 2) is widens
