Let a change in the list cost what it touches, and measure the module at 12 to 1,200 servers

Changed: only the shards that a change names are gathered anew; nodes that go are remembered by name for the round. The list of all usable nodes is made when a request for any of them asks. Whole lists still go through all they name.

--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -63,7 +63,8 @@
         self.most_worth = max([c.worth for c in settings.classes.values()] or [1.0])
         self.most_worth *= max([p.price for p in settings.plans.values()] or [1.0])
         self.patience = min((c.aim for c in settings.classes.values()), default=1.0)
-        self.usable: list[Node] = []
+        self.usable: list[Node] | None = None  # for requests that any node may take; None: to be looked up
+        self.leaving: dict[str, None] = {}  # nodes that are not usable
         self.by_shard: dict[int, list[Node]] = {}  # the usable ones
         self.bare: dict[int, float] = {}  # shards that are asked for and have none, and since when
         self.touched: dict[int, None] = {}  # shards to look at: a batch costs no more than what it touches
@@ -118,7 +119,10 @@
             if self.now - flow.used_at > IDLE_FLOW:
                 del self.flows[key]
         self.rest_until = {key: at for key, at in self.rest_until.items() if at > self.now}
-        self.nodes = {i: node for i, node in self.nodes.items() if node.usable or node.out}
+        for name in [name for name in self.leaving if self.nodes[name].usable or not self.nodes[name].out]:
+            del self.leaving[name]
+            if not self.nodes[name].usable:
+                del self.nodes[name]
         self.asked = {shard: USUAL * units for shard, units in self.asked.items() if units > 0.01}
         self.asked_all, self.rounds = sum(self.asked.values()), USUAL * self.rounds + 1
         live = {key[:2] for key in self.flows}
@@ -211,7 +215,7 @@
         """When to come back: once the shortest queue for it has passed, spread so as not to flock."""
         if not self.set.advises_pause:
             return 0.0
-        nodes = self.usable if job.req.shard == ANY else self.by_shard.get(job.req.shard, ())
+        nodes = self._nodes(job.req.shard)
         wait = min((self._wait(node) for node in nodes), default=inf)
         return min(self.set.max_pause, max(wait, self.patience)) * (0.5 + self.random.random() / 2)
 
@@ -288,11 +292,15 @@
             return
         if got.kind is not ListKind.CACHED:
             self.asking.told()
+        moved: dict[int, list[Node]] = {}  # by shard: a change costs no more than what it touches
         if got.kind is not ListKind.DELTA:
             for node in self.nodes.values():
                 node.usable = False  # what a complete list does not name is gone
+            moved, self.leaving = {shard: [] for shard in self.by_shard}, dict.fromkeys(self.nodes)
         for entry in got.entries:
             node = self.nodes.get(entry.id)
+            if node is not None:
+                moved.setdefault(node.entry.shard, [])
             if node is None or entry.started_at != node.entry.started_at:
                 # guard 4: what an earlier life of ours knew begins with its budget spent
                 out, sent = (node.out, node.sent) if node else (0, Recent())
@@ -301,11 +309,23 @@
                 if got.kind is ListKind.CACHED:
                     sent.add(self.now, inf)
             node.entry, node.usable = entry, entry.state is NodeState.READY
-        self.usable, self.by_shard = [n for n in self.nodes.values() if n.usable], {}
-        for node in self.usable:
-            self.by_shard.setdefault(node.entry.shard, []).append(node)
-        self.bare = {shard: since for shard, since in self.bare.items() if shard not in self.by_shard}
-        self.touched.update(dict.fromkeys(self.lanes))
+            moved.setdefault(entry.shard, []).append(node)
+            if not node.usable:
+                self.leaving[entry.id] = None
+        for shard, fresh in moved.items():
+            there = [n for n in self.by_shard.pop(shard, ()) if self.nodes.get(n.entry.id) is n]
+            if live := [n for n in dict.fromkeys(there + fresh) if n.usable and n.entry.shard == shard]:
+                self.by_shard[shard] = live
+                self.bare.pop(shard, None)
+        self.usable = None
+        self.touched.update(dict.fromkeys(shard for shard in (*moved, ANY) if shard in self.lanes))
+
+    def _nodes(self, shard: int) -> list[Node]:
+        if shard != ANY:
+            return self.by_shard.get(shard, [])
+        if self.usable is None:
+            self.usable = [node for node in self.nodes.values() if node.usable]
+        return self.usable
 
     def _thresholds(self, flows: list[Flow]) -> float:
         """Lifts the lagging flows among those that wait for a shard to T_min; returns T_max."""
@@ -397,7 +417,7 @@
         """Serves one shard: promotes what waits, then sends while nodes have room, shortest wait first."""
         del self.touched[shard]
         if lane := self.lanes.get(shard):
-            nodes = self.usable if shard == ANY else self.by_shard.get(shard, [])
+            nodes = self._nodes(shard)
             if shard == ANY:  # by lot: heads share nothing and would all flock to the one best node
                 nodes = self.random.sample(nodes, min(CHOICES, len(nodes)))
             self._promote(lane, sum(ceil(node.window) for node in nodes) or 1)
@@ -460,9 +480,8 @@
         return sent + units <= part
 
     def _part(self, shard: int) -> float:
-        """Our part of what all heads send to a shard. Few of many heads work with any one: parts that are
-        even over all heads would go unused. Ours is even, times how much more of our requests go there than
-        to the mean shard: over all heads these add up to 1 for the mean shard."""
+        """Our part of what all heads send to a shard: even, times how much more of our requests go there than
+        to the mean shard. Over all heads these add up to 1 for the mean shard; few work with any one."""
         unknown, shards = UNKNOWN * self.set.mean_units, self.set.shards
         usual = (self.asked.get(shard, 0.0) + unknown / shards) / (self.asked_all + unknown)
         return usual * shards / max(1, self.set.heads)
@@ -473,8 +492,7 @@
         if (util := report.get("util")) is None:
             return
         if self._warm(node):
-            busy = 1.0 if self.busy is None else self.busy
-            self.busy = busy + SMOOTH * (util - busy)
+            self.busy = (self.busy or 1.0) + SMOOTH * (util - (self.busy or 1.0))
         elif util >= EASY or report.get("queue"):
             node.ease = max(0.25, node.ease / 2)
         elif self.now >= node.eased_at + (self.set.overload_window or 0.0):
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -145,3 +145,26 @@
         head.handle(101.0 + 2 * turn, [NodeList(ListKind.FULL, [])])
     head.handle(120.0, [api.Timer(1)])
     assert not head.nodes and not head.by_shard
+
+
+def test_a_change_of_one_node_costs_the_same_in_a_list_of_a_thousand():
+    costs = []
+    for nodes in (12, 1200):
+        head = Scheduler(settings(), 100.0)
+        head.handle(100.0, [NodeList(ListKind.FULL, [entry(i) for i in range(nodes)])])
+        drained = NodeList(ListKind.DELTA, [entry(3, state=api.NodeState.DRAINING)])
+        costs.append(work(head, 100.001, drained) + work(head, 101.5, api.Timer(1)))
+        assert 3 not in head.by_shard and "n3" not in head.nodes
+    assert costs[1] <= costs[0] + 5, costs
+
+
+def test_a_node_that_moves_restarts_or_is_told_twice_stands_once_where_it_is():
+    head = Scheduler(settings(), 100.0)
+    head.handle(100.0, [NodeList(ListKind.FULL, [entry(0), entry(1), entry(1, "n1b")])])
+    for told in (entry(2, "n0"), entry(2, "n0"), entry(1, started_at=99.0), entry(1, started_at=99.0)):
+        head.handle(100.1, [NodeList(ListKind.DELTA, [told, told])])
+    assert {s: sorted(n.entry.id for n in there) for s, there in head.by_shard.items()} == {1: ["n1", "n1b"], 2: ["n0"]}
+    assert all(head.nodes[node.entry.id] is node for there in head.by_shard.values() for node in there)
+    head.handle(100.2, [NodeList(ListKind.FULL, [entry(1)])])
+    head.handle(102.0, [api.Timer(1)])
+    assert list(head.nodes) == ["n1"] and list(head.by_shard) == [1] and not head.leaving
