Refuse what was not sent by half of its time then, not later

At fault: `_heads` held requests up to their aim, which is all of their time where clients give up early.

Changed: a request without an attempt ends at half of its time.

--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -146,7 +146,8 @@
         most = self.longest[req.cls] = max(left, self.longest.get(req.cls, 0.0))
         # with less than its aim it is hardly one: they come sooner; its client gives up early
         aim_at = self.now + (left if left < cls.aim else cls.aim + left - most)
-        job = self.jobs[req.id] = Job(req, cls, flow, self.now, aim_at)
+        half_at = self.now + left / 2 - TICK - self.set.step
+        job = self.jobs[req.id] = Job(req, cls, flow, self.now, aim_at, half_at)
         self.taken.add(self.now, 1)
         self.asked[req.shard] = self.asked.get(req.shard, 0.0) + req.units
         self.asked_all += req.units
@@ -372,7 +373,8 @@
             while queue:
                 job, nodes = queue[0], self.by_shard.get(queue[0].req.shard, ())
                 need = min([self._need(node, job) for node in nodes] or [self._absence(job.req.shard)])
-                if not job.done and self.now + need <= job.aim_at:
+                unsent = not job.attempts and self.now > job.half_at  # its client could have asked elsewhere
+                if not job.done and not unsent and self.now + need <= job.aim_at:
                     yield job
                     break
                 queue.popleft()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -144,6 +144,21 @@
     assert [s.node for s in head.sent(name)] == ["new"]
 
 
+def test_what_was_not_sent_by_half_of_its_time_is_refused_then_and_what_was_sent_goes_on():
+    head = Head()
+    for _ in range(3):
+        head.take()  # the window is full
+    short = head.take(time_left=0.4)
+    head.wait(0.1)
+    assert short not in head.finals
+    head.wait(0.1)
+    assert isinstance(head.finals[short], api.Refuse) and not head.sent(short)
+    head = Head()
+    sent = head.take(time_left=0.4)
+    head.wait(0.3)
+    assert sent not in head.finals
+
+
 def test_the_list_is_watched_and_asked_for_again_after_failure():
     head = Head(list_on_request=True, ask_within=10.0)
     asks = lambda: sum(isinstance(a, api.WatchList) for a in head.actions)  # noqa: E731
