Steer cold chunk servers towards 0.9 busy, by one step in each window

At fault: `_reported` doubled a front's part at most once in a window but halved it at every busy report; a report of two cores is often over 0.7 by chance, so the fronts with the most answers a second were held at a quarter.

Changed: one step a window either way, by 0.9 over the reported busyness, from a half to two.

--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -34,7 +34,8 @@
 COLD_LOAD = 0.9  # how busy a cold node may get, by how busy warm ones are with what is asked of them
 USUAL = 0.8  # kept from round to round of what was asked of each shard: five seconds tell what is usual
 UNKNOWN = 10.0  # requests, spread evenly over all shards, that stand for what we have not seen yet
-EASY = 0.7  # a cold node that reports to be busy for less than this, and no queue, bears more
+LEAST_BUSY = 0.3  # what warm nodes are taken to be busy at least
+EASE = (0.25, 4.0)  # how far a cold node's reports lower and raise what it gets
 LOST, LOSSY = 4.0, 0.02  # multiple of what an attempt should take; part of answers lost that makes it act
 ANY = -1  # the shard of new objects
 HUNG = {Status.TIMEOUT, Status.RESET, Status.CANCELLED, Status.UNKNOWN}  # may still be running
@@ -470,7 +471,7 @@
         part = COLD_SAFETY * s.cold_units * min(1.0, self._part(node.entry.shard)) * power / start
         if self.busy is not None:  # the promise stands for the worst of loads; this one is known
             usual = self.asked.get(node.entry.shard, 0.0) / self.rounds * window / ROUND
-            part = max(part, node.ease * COLD_LOAD * power * usual / max(self.busy, 1 - EASY))
+            part = max(part, node.ease * COLD_LOAD * power * usual / max(self.busy, LEAST_BUSY))
         if part < s.most_units:
             # one request at a time, each paid for over as many windows as it takes; the first waits by lot,
             # so that of all heads only as many begin in one window as the node bears
@@ -489,16 +490,15 @@
         return usual * shards / max(1, self.set.heads)
 
     def _reported(self, node: Node, report: dict[str, float]) -> None:
-        """A cold node falls over at several times what keeps it busy. One that reports to have time left gets
-        more from each head, twice as much after each window; one that has none, as if it told nothing."""
+        """A cold node falls over at several times what keeps it busy. Each window, what it gets from us moves
+        towards what would keep it as busy as it may be, by a factor of two at most."""
         if (util := report.get("util")) is None:
             return
         if self._warm(node):
             self.busy = (self.busy or 1.0) + SMOOTH * (util - (self.busy or 1.0))
-        elif util >= EASY or report.get("queue"):
-            node.ease = max(0.25, node.ease / 2)
         elif self.now >= node.eased_at + (self.set.overload_window or 0.0):
-            node.ease, node.eased_at = min(2 * node.ease, 4.0), self.now
+            step = 0.5 if report.get("queue") else max(0.5, min(2.0, COLD_LOAD / max(util, 0.1)))
+            node.ease, node.eased_at = max(EASE[0], min(EASE[1], step * node.ease)), self.now
 
     def _blocked(self, job: Job, node: Node) -> bool:
         """Whether a rule forbids this send now."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -106,7 +106,7 @@
         early += sum(sums) if 2 <= second <= 6 else 0.0
         late += sum(sums) if second >= 18 else 0.0
     # what is asked of a server is 40 a second
-    assert early >= (0.55 if reports else 0.2) * 40 * 5 * len(fresh)
+    assert early >= (0.6 if reports else 0.2) * 40 * 5 * len(fresh)
     assert late >= 0.85 * 40 * 2 * len(fresh)
 
 
@@ -132,3 +132,16 @@
             acts = head.handle(now + 0.05, [api.Outcome(name, 0, "n0", Status.OK, 0.05, True, report)])
             sends += [act for act in acts if isinstance(act, api.Send)]
     assert (head.nodes["n0"].window > 2) is widens
+
+
+@pytest.mark.parametrize(("reports", "factor"), [
+    ([{"util": 0.3}] * 9, 2.0), ([{"util": 0.9}] * 9, 1.0), ([{"util": 1.0, "queue": 3.0}] * 9, 0.5), ([{}] * 9, 1.0)])
+def test_many_reports_within_one_window_move_what_a_cold_server_gets_by_one_step(reports, factor):
+    head = Scheduler(settings(heads=4, shards=1, **COLD), 100.0)
+    head.handle(100.0, [NodeList(ListKind.FULL, [entry(0, started_at=100.0)])])
+    node = head.nodes["n0"]
+    for i, report in enumerate(reports):
+        head.handle(101.5 + 0.05 * i, [api.Request(f"r{i}", "v", "read", "free", 4.0, 1, 0)])
+        for name in [name for name, job in head.jobs.items() if job.out]:
+            head.handle(101.6 + 0.05 * i, [api.Outcome(name, 0, "n0", Status.OK, 0.1, True, report)])
+    assert node.sent.items and node.ease == pytest.approx(factor)
