Refuse discovery's lists with a fault whole, with place, found and allowed; bound the log

Cause: `read_node` took negative sizes, fractions of a cell and ids of any type as they came, a whole list could name an id twice with different words, and a fault read as `ValueError: ...` without a place. Each failed call wrote a line, so 200 fronts whose discovery is away write some 50 a second together.

Changed: one reader checks form and figures and names the first fault by its place; nothing of such a list is taken. Repeats in changes stay allowed (told twice, or in turn). Failures in a row are logged at powers of two with their number, phases that are not known once a word, eight words at most.

--- a/ochrespan/net/discovery.py
+++ b/ochrespan/net/discovery.py
@@ -20,6 +20,8 @@
 PACE = timedelta(milliseconds=100)  # least time between calls that bring nothing; a watch stands 200 ms
 GRACE = timedelta(seconds=2)  # and how much longer its answer may take before it counts as failed
 MOST_LIST = 4 << 20  # bytes
+MOST_ODD = 8  # words for phases that are not known, each told once
+ANYWHERE = -1  # the cell of a server that holds no shard
 STATES = {"up": NodeState.READY, "draining": NodeState.DRAINING, "removed": NodeState.GONE}
 
 
@@ -27,23 +29,62 @@
     """Discovery's answer cannot be read."""
 
 
-def read_node(entry: dict[str, Any]) -> tuple[Node, str]:
-    started = float(entry.get("up_since_ms") or 0)
-    weight = float(entry.get("size", 1.0))
-    if not math.isfinite(started) or not math.isfinite(weight):
-        raise ValueError("a figure is not finite")
+def read_node(entry: Any, at: str) -> tuple[Node, str]:
+    """One member of a list; `at` says where it stands."""
+
+    def fault(name: str, allowed: str) -> BadList:
+        return BadList(f"{at}.{name}: found {str(entry.get(name))[:60]!r}, allowed: {allowed}")
+
+    def figure(name: str, usual: float, least: float) -> float:
+        try:
+            value = float(usual if entry.get(name) is None else entry[name])
+        except (TypeError, ValueError, OverflowError):
+            raise fault(name, "a number") from None
+        if not math.isfinite(value) or value < least:
+            raise fault(name, f"a finite number from {least:g} up")
+        return value
+
+    if not isinstance(entry, dict):
+        raise BadList(f"{at}: found {str(entry)[:60]!r}, allowed: an object")
+    if not isinstance(entry.get("id"), str) or not entry["id"]:
+        raise fault("id", "a name")
+    cell = figure("cell", ANYWHERE, ANYWHERE)
+    if not cell.is_integer():
+        raise fault("cell", f"a whole number from {ANYWHERE} up")
+    started = figure("up_since_ms", 0.0, 0.0)
+    try:
+        started_at = datetime.fromtimestamp(started / 1000, UTC) if started > 0 else None
+    except (OverflowError, ValueError, OSError):
+        raise fault("up_since_ms", "Unix time in milliseconds") from None
     node = Node(
-        id=str(entry["id"]),
-        shard=int(entry.get("cell", -1)),
+        id=entry["id"],
+        shard=int(cell),
         # a phase that is not known gets nothing new
-        state=STATES.get(entry.get("phase", "up"), NodeState.DRAINING),
-        started_at=datetime.fromtimestamp(started / 1000, UTC) if started > 0 else None,
+        state=STATES.get(str(entry.get("phase", "up")), NodeState.DRAINING),
+        started_at=started_at,
         zone=str(entry.get("locality", "")),
-        weight=weight,
+        weight=figure("size", 1.0, 0.0),
     )
     return node, str(entry.get("host_port", ""))
 
 
+def read_list(listing: Any) -> tuple[bool, int, list[tuple[Node, str]]]:
+    """Whether it is complete, its revision, and its members; the first fault is told by its place."""
+    if not isinstance(listing, dict):
+        raise BadList(f"the list: found {str(listing)[:60]!r}, allowed: an object")
+    for name, kind, allowed in (
+            ("revision", int, "a whole number"), ("complete", bool, "true or false"), ("members", list, "a list")):
+        if not isinstance(listing.get(name), kind):
+            raise BadList(f"{name}: found {str(listing.get(name))[:60]!r}, allowed: {allowed}")
+    read = [read_node(entry, f"members[{i}]") for i, entry in enumerate(listing["members"])]
+    if listing["complete"]:  # changes may tell of one twice, in turn; a whole list has one word for each
+        seen: dict[str, tuple[Node, str]] = {}
+        for i, one in enumerate(read):
+            if seen.setdefault(one[0].id, one) != one:
+                raise BadList(f"members[{i}].id: found {one[0].id!r} twice with different words, allowed: once")
+    return listing["complete"], listing["revision"], read
+
+
 class Directory:
     """Where the chunk servers listen; the watch keeps it, the client reads it."""
 
@@ -52,15 +93,16 @@
         self.shards: dict[int, list[str]] = {}  # what runs, by shard, for fronts that place data themselves
         self._nodes: dict[str, Node] = {}
         self.revision: int | None = None
+        self._odd: set[str] = set()  # phases that are not known
 
     def apply(self, listing: Any) -> tuple[ListKind, list[Node]]:
         """Takes in one of discovery's lists, whole or not at all."""
-        try:
-            complete = bool(listing["complete"])
-            read = [read_node(entry) for entry in listing["members"]]
-            revision = int(listing["revision"])
-        except (LookupError, TypeError, ValueError, OverflowError, AttributeError) as why:
-            raise BadList(f"{type(why).__name__}: {why}") from why
+        complete, revision, read = read_list(listing)
+        for entry in listing["members"]:
+            phase = str(entry.get("phase", "up"))[:32]
+            if phase not in STATES and phase not in self._odd and len(self._odd) < MOST_ODD:
+                self._odd.add(phase)  # one line for each word, and not for any number of words
+                log.warning("a phase that is not known is taken as draining", extra={"phase": phase})
         if complete:
             self._nodes = {}
         for node, address in read:
@@ -96,6 +138,7 @@
         self._wanted = asyncio.Event()
         self._limit: asyncio.Timeout | None = None  # round the calls that are under way
         self._moved = False
+        self._failed = 0  # in a row
         broker.on_list_wanted(self._wanted.set)
 
     def known(self, listing: Any) -> None:
@@ -128,7 +171,10 @@
                 async with asyncio.timeout(None) as self._limit:
                     await self._watch()
             except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as why:
-                log.info("watch ended", extra={"why": f"{type(why).__name__}: {why}"})
+                self._failed += 1
+                if not self._failed & (self._failed - 1):  # the 1st, 2nd, 4th, 8th ... in a row: each says how many
+                    words = {"why": f"{type(why).__name__}: {why}", "in_a_row": self._failed}
+                    log.info("watch ended", extra=words)
             except Exception:  # the list must go on whatever one answer did to us
                 log.exception("watch failed")
             finally:
@@ -145,6 +191,7 @@
         while True:
             began = loop.time()
             kind, nodes = self._directory.apply(await self._call())
+            self._failed = 0
             if first or nodes or kind is ListKind.FULL:
                 self._broker.listing(kind, nodes)
             first = False
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,105 @@
+"""Discovery's lists as they must not be: what was known stays, and the log says why in few lines."""
+
+import asyncio
+import json
+import logging
+
+import pytest
+
+from ochrespan.net.discovery import MOST_ODD, BadList, Directory, Watch
+from ochrespan.requests import ListKind
+
+GOOD = {"id": "n1", "host_port": "127.0.0.1:9", "locality": "a", "cell": 3, "phase": "up", "size": 1.0,
+        "up_since_ms": 0}
+
+
+def listing(*members, complete=True, revision=7) -> dict:
+    return {"revision": revision, "complete": complete, "members": list(members)}
+
+
+@pytest.mark.parametrize(("told", "where"), [
+    ([], "the list"),
+    ("nothing", "the list"),
+    ({"revision": 1, "complete": True}, "members"),
+    (listing(revision="9"), "revision"),
+    (listing(complete="yes"), "complete"),
+    (listing("n1"), "members[0]"),
+    (listing(GOOD, {k: v for k, v in GOOD.items() if k != "id"}), "members[1].id"),
+    (listing(GOOD | {"id": 5}), "members[0].id"),
+    (listing(GOOD, GOOD | {"cell": 4}), "members[1].id"),
+    (listing(GOOD | {"size": -1.0}), "members[0].size"),
+    (listing(GOOD | {"size": float("nan")}), "members[0].size"),
+    (listing(GOOD | {"size": "big"}), "members[0].size"),
+    (listing(GOOD | {"cell": -2}), "members[0].cell"),
+    (listing(GOOD | {"cell": 1.5}), "members[0].cell"),
+    (listing(GOOD | {"up_since_ms": -3}), "members[0].up_since_ms"),
+    (listing(GOOD | {"up_since_ms": 1e300}), "members[0].up_since_ms"),
+    (listing(GOOD | {"up_since_ms": [1]}), "members[0].up_since_ms"),
+])
+def test_a_list_with_a_fault_is_not_taken_in_any_part_and_its_place_is_named(told, where):
+    directory = Directory()
+    directory.apply(listing(GOOD, revision=3))
+    before = (directory.addresses, directory.shards, directory.revision)
+    with pytest.raises(BadList) as why:
+        directory.apply(told)
+    assert str(why.value).startswith(f"{where}: found ") and "allowed: " in str(why.value)
+    assert (directory.addresses, directory.shards, directory.revision) == before
+
+
+def test_a_member_that_is_told_twice_alike_or_changed_twice_in_turn_is_taken():
+    directory = Directory()
+    directory.apply(listing(GOOD, GOOD))
+    kind, nodes = directory.apply(listing(GOOD | {"phase": "draining"}, GOOD | {"phase": "removed"}, complete=False))
+    assert kind is ListKind.DELTA and len(nodes) == 2 and not directory.addresses
+
+
+def test_phases_that_are_not_known_get_nothing_new_and_few_lines(caplog):
+    directory = Directory()
+    for i in range(100):
+        directory.apply(listing(GOOD | {"phase": f"odd{i}"}, GOOD | {"id": "n2", "cell": 4}))
+        directory.apply(listing(GOOD | {"phase": "odd0"}, GOOD | {"id": "n2", "cell": 4}))
+    assert set(directory.shards) == {4}
+    assert len([line for line in caplog.records if "not known" in line.message]) == MOST_ODD
+
+
+class Told:
+    """A broker that wants the list again at once whenever a call failed."""
+
+    def __init__(self) -> None:
+        self.kinds: list[ListKind] = []
+
+    def on_list_wanted(self, call) -> None:
+        self.want = call
+
+    def listing(self, kind, nodes=None) -> None:
+        self.kinds.append(kind)
+        if kind is ListKind.FAILED:
+            self.want()
+
+
+def test_bad_answers_in_a_row_are_told_ever_more_seldom_and_a_good_one_ends_the_row(caplog):
+    caplog.set_level(logging.INFO)
+
+    async def story() -> None:
+        broker, directory = Told(), Directory()
+        watch = Watch(broker, directory, None, "127.0.0.1:9")
+        answers = [json.dumps({"revision": 1})] * 100 + [json.dumps(listing(GOOD))] + ["[]"] * 3
+
+        async def call():
+            if not answers:
+                await asyncio.sleep(60)
+            return json.loads(answers.pop(0))
+
+        watch._call = call
+        broker.want()
+        task = asyncio.create_task(watch.run())
+        while answers:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.01)
+        task.cancel()
+        assert broker.kinds.count(ListKind.FAILED) == 103 and broker.kinds.count(ListKind.FULL) == 1
+        assert directory.addresses == {"n1": "127.0.0.1:9"}
+
+    asyncio.run(story())
+    rows = [line.in_a_row for line in caplog.records if line.message == "watch ended"]
+    assert rows == [1, 2, 4, 8, 16, 32, 64, 1, 2]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -23,6 +23,7 @@
     node: api.NodeEntry
     got: list[tuple[float, float]] = field(default_factory=list)  # when, units
     free_at: float = 0.0
+    silent: bool = False
 
     def power(self, now: float) -> float:
         started = self.node.started_at
@@ -46,6 +47,9 @@
     def __init__(self, reports: bool, rate: float = 40.0, heads: int = 40, shards: int = 60) -> None:
         self.now, self.lot, self.reports, self.count = 100.0, random.Random(5), reports, 0
         self.rate = rate * shards / heads  # units a second through each head
+        self.taken: set[str] = set()  # requests that are owed an end
+        self.out: set[str] = set()  # requests with an attempt out
+        self.trials = 0  # attempts at silent servers
         self.servers = [Server(entry(i)) for i in range(shards)]
         self.by_id = {server.node.id: server for server in self.servers}
         told = settings(heads=heads, shards=shards, **COLD)
@@ -73,21 +77,38 @@
             self.now += STEP
             for rank, head in enumerate(self.heads):
                 events: list[api.Event] = [answer for at, answer in self.answers[rank] if at <= self.now]
+                self.out -= {answer.request_id for answer in events}
+                self.taken -= {answer.request_id for answer in events if answer.status is Status.OK}
                 self.answers[rank] = [one for one in self.answers[rank] if one[0] > self.now]
                 if self.lot.random() < self.rate * STEP / 2:  # of 2 units in the mean
                     self.count += 1
                     shard, units = self.lot.choice(self.mixes[rank]), self.lot.choice((1, 1, 2, 2, 4))
                     events.append(api.Request(f"r{self.count}", "v", "read", "free", 4.0, units, shard))
+                self.taken |= {event.id for event in events if isinstance(event, api.Request)}
                 self.hear(rank, head.handle(self.now, events or [api.Timer(1)]))
 
+    def tell(self, servers: list[Server], state: api.NodeState = api.NodeState.READY) -> None:
+        changes = [api.NodeEntry(s.node.id, s.node.shard, state, s.node.started_at) for s in servers]
+        for rank, head in enumerate(self.heads):
+            self.hear(rank, head.handle(self.now, [NodeList(ListKind.DELTA, changes)]))
+
     def hear(self, rank: int, actions: list[api.Action]) -> None:
         for action in actions:
-            if isinstance(action, api.Send):
-                job = self.heads[rank].jobs[action.request_id]
-                at, report = self.by_id[action.node].take(self.now, job.req.units)
-                answer = api.Outcome(action.request_id, job.attempts - 1, action.node, Status.OK, at - self.now, True,
-                                     report if self.reports else {})
-                self.answers[rank].append((at, answer))
+            if isinstance(action, api.Refuse | api.Fail):
+                self.taken.remove(action.request_id)  # once
+            if not isinstance(action, api.Send):
+                continue
+            job, server = self.heads[rank].jobs[action.request_id], self.by_id[action.node]
+            assert action.request_id not in self.out, "two attempts out"
+            self.out.add(action.request_id)
+            at, report = server.take(self.now, job.req.units) if not server.silent else (1e9, {})
+            self.trials += server.silent
+            ok = at <= self.now + action.timeout
+            at = min(at, self.now + action.timeout)
+            answer = api.Outcome(action.request_id, job.attempts - 1, action.node,
+                                 Status.OK if ok else Status.TIMEOUT, at - self.now, ok,
+                                 report if self.reports and ok else {})
+            self.answers[rank].append((at, answer))
 
 
 @pytest.mark.parametrize("reports", [False, True])
@@ -145,3 +166,47 @@
         for name in [name for name, job in head.jobs.items() if job.out]:
             head.handle(101.6 + 0.05 * i, [api.Outcome(name, 0, "n0", Status.OK, 0.1, True, report)])
     assert node.sent.items and node.ease == pytest.approx(factor)
+
+
+def test_a_zone_that_falls_silent_and_returns_cold_is_tried_seldom_and_not_pushed_over():
+    room = Room(reports=True)
+    room.run(8)
+    zone = room.servers[:20]
+    for server in zone:
+        server.silent = True
+    room.run(1)  # nobody tells: each front finds out by itself
+    room.trials = 0
+    room.run(4)
+    # 20 servers are asked for 800 units a second, 2 in a request: 1,600 requests in that time
+    assert room.trials <= 320, room.trials
+    for server in zone:  # back under its id, cold; the list tells it a second late
+        server.node = entry(server.node.shard, server.node.id, started_at=room.now)
+        server.silent, server.free_at = False, room.now
+    room.run(1)
+    room.tell(zone)
+    for second in range(2, 18):
+        room.run(1)
+        sums = [server.units(room.now - 1, room.now) for server in zone]
+        assert max(sums) < 3.2 * FULL * min(1.0, 0.2 + 0.8 * (second - 1) / 16), (second, sums)
+    assert sum(sums) >= 0.8 * 40 * len(zone)
+    for server in room.servers:
+        room.tell([server], api.NodeState.DRAINING)
+    room.rate = 0.0
+    room.run(5)
+    assert not room.taken and not room.out
+    assert not any(head.jobs for head in room.heads)
+
+
+def test_nothing_new_goes_to_drained_servers_though_they_are_told_twice_and_their_successors_late():
+    room = Room(reports=True)
+    room.run(4)
+    old = room.servers[:36]
+    room.tell(old, api.NodeState.DRAINING)
+    told_at = room.now
+    room.run(1)
+    room.tell(old[:18], api.NodeState.DRAINING)
+    room.run(1)
+    room.replace(range(36))
+    room.run(3)
+    assert not any(at > told_at for server in old for at, _ in server.got)
+    assert all(server.got for server in room.servers)
