Forget shards without a server once nobody asks for them

Cause: `bare` kept every shard that was ever asked for and had no server. Shards come from clients' requests, so made-up numbers grew it without end (20 a second in the new test, 780 entries more in 40 s).

Changed: it goes with what was asked of the shard, some thirty seconds after the last request.

--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -125,6 +125,7 @@
                 del self.nodes[name]
         self.asked = {shard: USUAL * units for shard, units in self.asked.items() if units > 0.01}
         self.asked_all, self.rounds = sum(self.asked.values()), USUAL * self.rounds + 1
+        self.bare = {shard: at for shard, at in self.bare.items() if shard in self.asked}  # or made up
         live = {key[:2] for key in self.flows}
         self.volumes = {k: v for k, v in self.volumes.items()  # a full store can be made anew as it was
                         if k in live or (v.limit and v.limit.have(self.now) < v.limit.burst)}
@@ -312,8 +313,7 @@
                     sent.add(self.now, inf)
             node.entry, node.usable = entry, entry.state is NodeState.READY
             moved.setdefault(entry.shard, []).append(node)
-            if not node.usable:
-                self.leaving[entry.id] = None
+            self.leaving.update({} if node.usable else {entry.id: None})
         for shard, fresh in moved.items():
             there = [n for n in self.by_shard.pop(shard, ()) if self.nodes.get(n.entry.id) is n]
             if live := [n for n in dict.fromkeys(there + fresh) if n.usable and n.entry.shard == shard]:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -168,3 +168,26 @@
     head.handle(100.2, [NodeList(ListKind.FULL, [entry(1)])])
     head.handle(102.0, [api.Timer(1)])
     assert list(head.nodes) == ["n1"] and list(head.by_shard) == [1] and not head.leaving
+
+
+def test_nodes_volumes_and_shards_that_come_and_go_by_the_thousand_leave_nothing_behind():
+    head = Scheduler(settings(heads=40, shards=40, ask_within=10.0, list_on_request=True, **COLD), 100.0)
+    now, kept = 100.0, []
+    for turn in range(120):
+        now = 100.0 + turn
+        fresh = [entry(i, f"x{turn}-{i}", started_at=now) for i in range(40)]
+        gone = [entry(i, f"x{turn - 1}-{i}", state=api.NodeState.GONE) for i in range(40) if turn]
+        acts = head.handle(now, [NodeList(ListKind.DELTA, gone + fresh)])
+        acts += head.handle(now, [api.Request(f"r{turn}-{i}", f"v{turn}-{i}", "read", "free", 4.0, 1,
+                                              i if i < 40 else 1000 * turn + i, hosts=1) for i in range(60)])
+        for send in [act for act in acts if isinstance(act, api.Send)]:
+            report = {"queue": 0.0, "util": 0.4}
+            head.handle(now + 0.1, [api.Outcome(send.request_id, 0, send.node, Status.OK, 0.1, True, report)])
+        sizes = (len(head.nodes), len(head.leaving), len(head.volumes), len(head.flows), len(head.asked),
+                 len(head.lanes), len(head.jobs), len(head.bare), len(head.by_shard), len(head.ends))
+        kept.append(sum(sizes))
+    assert max(kept[80:]) <= 1.05 * max(kept[40:80]), (kept[40], kept[80], kept[-1])
+    for second in range(1, 60):
+        head.handle(now + second, [api.Timer(1)])
+    assert len(head.nodes) == 40 and len(head.by_shard) == 40
+    assert not (head.leaving or head.volumes or head.flows or head.asked or head.lanes or head.jobs)
