Test of an upload beside a drain: wait for the head's watch before it begins

The upload begins 15 ms after /up; since heads spread their first list calls (0.1 s for each other head), so the front knew of no drain and spent its three attempts at a server that turned all away.

The refusal without a watch is right: attempts are bounded at 3. The test's subject is a drain that the front is told of.

--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -295,6 +295,8 @@
         async with World(2, OPERATOR) as world:
             assert (await world.objects("PUT", WHERE, before))[0] == 200
             drained = world.nodes[1]
+            # heads spread their first calls: one that has no watch yet knows of no drain
+            await until(lambda: world.calls and world.calls[-1][1] == str(world.revision))
 
             async def sending():
                 yield body[:half]
