Draw the lot of a cold server's first request when a front hears of the server

At fault: `_cold_left` drew the lot (up to one mean request of debt) when a front first asked, and paid it from then on at the front's part: 0.2 units a second make that some five seconds, so a front's first request hardly ever went.

Changed: the lot is drawn and paid for from when the list tells of the server. All fronts together still begin with what the time since then paid for.

The new test fails without the change.

--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -309,6 +309,8 @@
                 out, sent = (node.out, node.sent) if node else (0, Recent())
                 window = max(1.0, min(WINDOW_START, WINDOW_ALL / max(1, self.set.heads)))
                 node = self.nodes[entry.id] = Node(entry, window=window, sent=sent, out=out)
+                # the first send waits by lot from now on: only as many heads begin in a window as it bears
+                node.unpaid, node.paid_at = self.random.random() * self.set.mean_units, self.now
                 if got.kind is ListKind.CACHED:
                     sent.add(self.now, inf)
             node.entry, node.usable = entry, entry.state is NodeState.READY
@@ -473,10 +475,7 @@
             usual = self.asked.get(node.entry.shard, 0.0) / self.rounds * window / ROUND
             part = max(part, node.ease * COLD_LOAD * power * usual / max(self.busy, LEAST_BUSY))
         if part < s.most_units:
-            # one request at a time, each paid for over as many windows as it takes; the first waits by lot,
-            # so that of all heads only as many begin in one window as the node bears
-            if node.paid_at is None:
-                node.unpaid, node.paid_at = self.random.random() * s.mean_units, self.now
+            # one request at a time, each paid for over as many windows as it takes
             node.unpaid = max(-part, node.unpaid - part * (self.now - node.paid_at) / window)
             node.paid_at = self.now
             return node.unpaid <= 0
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -64,6 +64,18 @@
         assert sum(sums) >= 0.2 * sum(24 * (1 + 3 * t / 16) for t in range(14)) * active / heads
 
 
+def test_heads_that_first_ask_a_cold_node_late_have_waited_already_and_still_do_not_push_it_over():
+    sent = []
+    for silent in (1, 3, 6, 9):  # seconds from hearing of it to the first request
+        fleet = Fleet(200, entry(0, started_at=100.0), 3, "free", **COLD)
+        fleet.now += silent
+        for rank in range(200):
+            fleet.step(rank, 1)
+        sent.append(fleet.units(fleet.now - 1, fleet.now))
+        assert sent[-1] <= 24 * (1 + 3 * silent / 16) * 4  # the promise is a quarter of what it takes to fall
+    assert 0 < sent[0] < sent[1] < sent[2] < sent[3], sent
+
+
 def test_a_head_that_restarts_often_gets_no_more_of_a_cold_node():
     fleet = Fleet(200, entry(0, started_at=100.0), 3, "free", **COLD)
     for second in range(10):
