Bound cold servers by the settings' FallMultiple and their shard's own busyness

At fault: `COLD_LOAD = 0.9` in `_cold_left` and the steering towards it in `_reported`: each front held to its part of 0.9 of the server's power, with reports that are seconds old and fronts that have none, adds up to two thirds of it.

What falls over is at FallMultiple (4) in the settings, which the module did not read. So one budget did two things; queues are held by windows already (one request out for each of a dozen fronts).

Changed: a front's part is COLD_SAFETY (0.8) of that multiple of its part of the present power, which is what it is asked over how busy warm servers of this shard were (of all, where none reported). The steering and two constants go. Without reports or a multiple the promise (YoungLimit) stays the bound.

The bound is kept for what windows do not hold.

--- a/ochrespan/interface.py
+++ b/ochrespan/interface.py
@@ -107,6 +107,7 @@
     spare_worth: float = 1.0
     cold_units: float | None = None
     start_capacity: float | None = None
+    fall_multiple: float | None = None  # of what a cold node can do, for the overload window: it falls over
     warm_up: float | None = None
     overload_window: float | None = None
     key_rest: float | None = None
--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -30,11 +30,9 @@
 TICK = 0.02  # s between looks at what waits
 FAILS = 4  # failures in a row from which the back-off stays; worth a log line
 COLD_SAFETY = 0.8  # part of the cold budget that is used: chance and handshakes take the rest
-COLD_LOAD = 0.9  # how busy a cold node may get, by how busy warm ones are with what is asked of them
 USUAL = 0.8  # kept from round to round of what was asked of each shard: five seconds tell what is usual
 UNKNOWN = 10.0  # requests, spread evenly over all shards, that stand for what we have not seen yet
 LEAST_BUSY = 0.3  # what warm nodes are taken to be busy at least
-EASE = (0.25, 4.0)  # how far a cold node's reports lower and raise what it gets
 LOST, LOSSY = 4.0, 0.02  # multiple of what an attempt should take; part of answers lost that makes it act
 ANY = -1  # the shard of new objects
 HUNG = {Status.TIMEOUT, Status.RESET, Status.CANCELLED, Status.UNKNOWN}  # may still be running
@@ -70,7 +68,7 @@
         self.touched: dict[int, None] = {}  # shards to look at: a batch costs no more than what it touches
         self.asked: dict[int, float] = {}  # units, by shard; what is past counts for less and less
         self.asked_all, self.rounds = 0.0, 1.0  # likewise
-        self.busy: float | None = None  # how much warm nodes report to be
+        self.busy: dict[int, float] = {}  # how much warm nodes report to be, by shard; at ANY all of them
         self.lossy = 0.0  # part of attempts that timed out though a later send was answered
         self.tick_at = now  # next look at all that waits
         self.stop_at = inf  # when the head ends
@@ -125,6 +123,7 @@
                 del self.nodes[name]
         self.asked = {shard: USUAL * units for shard, units in self.asked.items() if units > 0.01}
         self.asked_all, self.rounds = sum(self.asked.values()), USUAL * self.rounds + 1
+        self.busy = {at: util for at, util in self.busy.items() if at == ANY or at in self.asked}
         self.bare = {shard: at for shard, at in self.bare.items() if shard in self.asked}  # or made up
         live = {key[:2] for key in self.flows}
         self.volumes = {k: v for k, v in self.volumes.items()  # a full store can be made anew as it was
@@ -471,9 +470,10 @@
         start = s.start_capacity or 1.0
         power = start + (1 - start) * max(0.0, self.now - started - window) / s.warm_up
         part = COLD_SAFETY * s.cold_units * min(1.0, self._part(node.entry.shard)) * power / start
-        if self.busy is not None:  # the promise stands for the worst of loads; this one is known
+        if self.busy and s.fall_multiple:  # the promise stands for the worst of loads; this one is known
             usual = self.asked.get(node.entry.shard, 0.0) / self.rounds * window / ROUND
-            part = max(part, node.ease * COLD_LOAD * power * usual / max(self.busy, LEAST_BUSY))
+            busy = max(LEAST_BUSY, self.busy.get(node.entry.shard, self.busy[ANY]))
+            part = max(part, COLD_SAFETY * s.fall_multiple * power * usual / busy)  # queues: the windows
         if part < s.most_units:
             # one request at a time, each paid for over as many windows as it takes
             node.unpaid = max(-part, node.unpaid - part * (self.now - node.paid_at) / window)
@@ -489,15 +489,10 @@
         return usual * shards / max(1, self.set.heads)
 
     def _reported(self, node: Node, report: dict[str, float]) -> None:
-        """A cold node falls over at several times what keeps it busy. Each window, what it gets from us moves
-        towards what would keep it as busy as it may be, by a factor of two at most."""
-        if (util := report.get("util")) is None:
-            return
-        if self._warm(node):
-            self.busy = (self.busy or 1.0) + SMOOTH * (util - (self.busy or 1.0))
-        elif self.now >= node.eased_at + (self.set.overload_window or 0.0):
-            step = 0.5 if report.get("queue") else max(0.5, min(2.0, COLD_LOAD / max(util, 0.1)))
-            node.ease, node.eased_at = max(EASE[0], min(EASE[1], step * node.ease)), self.now
+        if (util := report.get("util")) is not None and self._warm(node):
+            for at in (ANY, node.entry.shard):
+                was = self.busy.get(at, self.busy.get(ANY, 1.0))
+                self.busy[at] = was + SMOOTH * (util - was)
 
     def _blocked(self, job: Job, node: Node) -> bool:
         """Whether a rule forbids this send now."""
--- a/ochrespan/settings.py
+++ b/ochrespan/settings.py
@@ -136,6 +136,7 @@
         spare_worth=number(got, "Extra.SpareWorth", 1),
         cold_units=maybe(got, "Extra.YoungLimit"),
         start_capacity=maybe(got, "Obligations.StartCapacity"),
+        fall_multiple=maybe(got, "Obligations.FallMultiple"),
         warm_up=maybe(got, "Obligations.WarmUpNs", NS),
         overload_window=maybe(got, "Obligations.OverloadForNs", NS),
         key_rest=maybe(got, "Obligations.KeyRestNs", NS),
--- a/ochrespan/state.py
+++ b/ochrespan/state.py
@@ -108,6 +108,4 @@
     failed_at: float = 0.0
     unpaid: float = 0.0  # while cold: units of the last send, as far as they are not paid for by waiting
     paid_at: float = 0.0  # up to when they are
-    ease: float = 1.0  # times our part that its reports allow
-    eased_at: float = -inf
     sent: Recent = field(default_factory=Recent)  # units
