Ask a moved discovery by lot, and tell nonsense beside answers by its place

Cause: after SIGHUP `Watch.move` cut the watch and asked the new address for the whole list at once, on every front in the same moment; 200 calls of 12 ms each before a discovery that fails what waits 2 s keep all of its queue. Load reports and X-Served-Elsewhere with nonsense were left out without a word, and each spoilt answer wrote a line.

Changed: a move is a plan of calls (`Asking.moved`): by lot within the 1.5 s that the old address still serves its watches, 0.1 s for each other head at most; the old watch goes on until then, and neither its news nor its end changes the lot. The revision is forgotten as the new watch begins, so that a last answer of the old one can't set it. net/reports.py reads reports and units without I/O: figures have to be from 0 to 1e6 (busyness to 10), the rest is left out and told by place, found and allowed, at the 1st, 2nd, 4th ... of a kind; the same holds for spoilt answers and failed watches.

Tests: 1 to 200 plans moved at once, with news and breaks of the old watch between (each of the three guards taken out fails it); five kinds of reports, six of units, and 40 answers with nonsense over a socket.

--- a/ochrespan/interface.py
+++ b/ochrespan/interface.py
@@ -51,6 +51,7 @@
     FULL = "full"  # the whole list; a node that is missing is gone
     CACHED = "cached"  # the whole list as it was last known; may be old
     FAILED = "failed"  # a call failed or the subscription broke; the old list stays
+    MOVED = "moved"  # discovery is to be asked elsewhere; the old subscription stands until then, or breaks
 
 
 # ---- settings ----
--- a/ochrespan/net/chunks.py
+++ b/ochrespan/net/chunks.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import math
 from collections.abc import Callable
 from contextvars import ContextVar
 from dataclasses import dataclass, field
@@ -18,9 +17,10 @@
 from ..broker import Broker
 from ..logs import bind
 from ..requests import Attempt, Final, Outcome, Request, Status
-from ..settings import REPORT_NAMES, Links
+from ..settings import Links
 from .answers import AnswerHandler, Spoilt, Stale
 from .discovery import Directory
+from .reports import ELSEWHERE, LOAD, Repeats, read_load, read_units
 
 log = logging.getLogger(__name__)
 
@@ -119,31 +119,10 @@
     headers: dict[str, str]
 
 
-def read_load(value: str) -> dict[str, float]:
-    """The figures of a load report; what cannot be read is left out."""
-    found = {}
-    for part in value.removeprefix("TEXT").split(","):
-        name, _, figure = part.strip().partition("=")
-        try:
-            number = float(figure)
-        except ValueError:
-            continue
-        if name in REPORT_NAMES and math.isfinite(number):
-            found[REPORT_NAMES[name]] = number
-    return found
-
-
-def read_units(value: str) -> float:
-    try:
-        units = float(value)
-    except ValueError:
-        return 0.0
-    return max(0.0, units) if math.isfinite(units) else 0.0
-
-
 class ChunkClient:
     def __init__(self, session: aiohttp.ClientSession, directory: Directory) -> None:
         self._session, self._directory = session, directory
+        self._odd = Repeats()
 
     async def send(self, attempt: Attempt, message: Message) -> tuple[Outcome, Answer | None]:
         """Makes the attempt: one message, at most one answer, never a second copy."""
@@ -165,18 +144,25 @@
         except Spoilt as why:
             # the node answers, though nothing that is of use: an error, which it may have run, and no sign of load
             status = Status.ERROR if progress.written else Status.CONNECT_FAILED
-            log.info("answer spoilt", extra={"node": attempt.node, "why": str(why)})
+            if number := self._odd.count("spoilt"):
+                log.info("answer spoilt", extra={"node": attempt.node, "why": str(why), "number": number})
             await progress.abandon()
         except (aiohttp.ClientError, OSError, ValueError) as why:
             # a break before the last byte was written never ran; after it, it may have
             status = Status.RESET if progress.written else Status.CONNECT_FAILED
             log.debug("attempt broke", extra={"node": attempt.node, "why": repr(why)})
             await progress.abandon()
+
+        def nonsense(where: str, found: str, allowed: str) -> None:
+            if number := self._odd.count(where):
+                words = {"node": attempt.node, "place": where, "found": found, "allowed": allowed, "number": number}
+                log.warning("left out of an answer", extra=words)
+
         headers = answer.headers if answer else {}
         outcome = Outcome(
             attempt, status, timedelta(seconds=loop.time() - began),
-            load=read_load(headers.get("endpoint-load-metrics", "")),
-            elsewhere=read_units(headers.get("x-served-elsewhere", "")))
+            load=read_load(headers.get(LOAD, ""), nonsense),
+            elsewhere=read_units(headers.get(ELSEWHERE, ""), nonsense))
         return outcome, answer
 
     async def _exchange(self, attempt: Attempt, message: Message, progress: Progress) -> Answer:
--- a/ochrespan/net/discovery.py
+++ b/ochrespan/net/discovery.py
@@ -13,6 +13,7 @@
 
 from ..broker import Broker
 from ..requests import ListKind, Node, NodeState
+from .reports import Repeats
 
 log = logging.getLogger(__name__)
 
@@ -134,12 +135,12 @@
         self, broker: Broker, directory: Directory, session: aiohttp.ClientSession, address: str
     ) -> None:
         self._broker, self._directory, self._session = broker, directory, session
-        self._address = address
+        self._address = self._next = address
         self._wanted = asyncio.Event()
         self._limit: asyncio.Timeout | None = None  # round the calls that are under way
         self._moved = False
-        self._failed = 0  # in a row
-        broker.on_list_wanted(self._wanted.set)
+        self._failures = Repeats()
+        broker.on_list_wanted(self._ask)
 
     def known(self, listing: Any) -> None:
         """The list as this front had it last; it may be old."""
@@ -151,37 +152,35 @@
         self._broker.listing(ListKind.CACHED, nodes)
 
     def move(self, address: str) -> None:
-        """Goes on at another address, at once: the old one is about to close, and its news may be late.
-
-        Nodes and their connections stay. What the revisions of the new service count is not known, so its first
-        answer has to be the whole list.
-        """
-        if address == self._address:
-            return
-        self._address, self._directory.revision = address, None
+        """Goes on at another address when the broker wants: soon, since the old one is about to close, but not in
+        the moment in which all other fronts are told the same. The watch at the old one goes on until then."""
+        if address != self._next:
+            self._next = address
+            self._broker.listing(ListKind.MOVED)
+
+    def _ask(self) -> None:
         self._wanted.set()
-        if self._limit is not None and not self._limit.expired():
+        if self._address != self._next and self._limit is not None and not self._limit.expired():
             self._moved = True
             self._limit.reschedule(asyncio.get_running_loop().time())
 
     async def run(self) -> None:
         while True:
             await self._wanted.wait()
+            if self._address != self._next:  # nodes and their connections stay, but what the revisions of the new
+                self._address, self._directory.revision = self._next, None  # service count is not known
             try:
                 async with asyncio.timeout(None) as self._limit:
                     await self._watch()
             except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as why:
-                self._failed += 1
-                if not self._failed & (self._failed - 1):  # the 1st, 2nd, 4th, 8th ... in a row: each says how many
-                    words = {"why": f"{type(why).__name__}: {why}", "in_a_row": self._failed}
-                    log.info("watch ended", extra=words)
+                if self._moved:  # no failure: the broker still waits for an answer
+                    continue
+                if number := self._failures.count("in a row"):
+                    log.info("watch ended", extra={"why": f"{type(why).__name__}: {why}", "in_a_row": number})
             except Exception:  # the list must go on whatever one answer did to us
                 log.exception("watch failed")
             finally:
-                self._limit = None
-            if self._moved:  # no failure: the broker still waits for an answer
-                self._moved = False
-                continue
+                self._limit, self._moved = None, False
             self._wanted.clear()
             self._broker.listing(ListKind.FAILED)
 
@@ -191,7 +190,7 @@
         while True:
             began = loop.time()
             kind, nodes = self._directory.apply(await self._call())
-            self._failed = 0
+            self._failures.over("in a row")
             if first or nodes or kind is ListKind.FULL:
                 self._broker.listing(kind, nodes)
             first = False
--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -288,6 +288,8 @@
         return bool(risky) or job.attempts >= most or not self._extra_left()
 
     def _list(self, got: api.NodeList) -> None:
+        if got.kind is ListKind.MOVED:
+            return self.asking.moved(self.now)
         if got.kind is ListKind.FAILED:
             if self.set.list_on_request:
                 self.asking.failed(self.now)
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -49,7 +49,10 @@
         while self.events and self.events[0][0] <= until:
             self.now, _, rank, what = heapq.heappop(self.events)
             plan = self.plans[rank]
-            if what == "failed":
+            if what in ("news", "broken"):  # of the old address, unless it has gone over already
+                if self.now < plan.at < float("inf"):
+                    plan.told() if what == "news" else plan.failed(self.now)
+            elif what == "failed":
                 self.failed += 1
                 plan.failed(self.now)
             elif what == "told":
@@ -58,7 +61,7 @@
             elif plan.due(self.now):
                 self.call(rank)
                 continue
-            if what != "look" and plan.at < float("inf"):
+            if what in ("told", "failed") and plan.at < float("inf"):
                 self.later(plan.at, rank, "look")
         self.now = until
 
@@ -68,6 +71,15 @@
             self.later(plan.at, rank, "look")
         self.lists = [0.0] * self.heads
 
+    def move(self) -> None:
+        """All are told of another address; the old one's watches have news, and break before all have gone over."""
+        for rank, plan in enumerate(self.plans):
+            plan.moved(self.now)
+            self.later(plan.at, rank, "look")
+            self.later(self.now + 0.2, rank, "news")
+            self.later(self.now + 0.5, rank, "broken")
+        self.lists = [0.0] * self.heads
+
     @property
     def unheard(self) -> int:
         return sum(not at for at in self.lists)
@@ -87,6 +99,19 @@
     assert fleet.calls == before  # the watches stand
 
 
+@pytest.mark.parametrize(("heads", "cost", "soon"), [
+    (1, 0.1, 0.1), (40, 0.06, 3.0), (200, 0.012, 3.0), (200, 0.03, 20.0)])  # the last: more than it can take in time
+def test_a_move_of_discovery_is_no_rush_of_all_heads_and_a_watch_that_breaks_changes_no_lot(heads, cost, soon):
+    fleet = Fleet(heads, cost)
+    fleet.run(30)
+    before, moved_at, failed = fleet.calls, fleet.now, fleet.failed
+    fleet.move()
+    fleet.run(20)
+    assert not fleet.unheard and max(fleet.lists) <= moved_at + soon + cost
+    assert fleet.calls - before <= (heads if soon <= 3 else 3 * heads)
+    assert soon > 3 or not fleet.failed - failed
+
+
 @pytest.mark.parametrize(("heads", "cost", "rate"), [(4, 0.1, 1.2), (40, 0.12, 0.4), (200, 0.03, 0.4)])
 def test_a_discovery_that_goes_away_and_returns_is_not_kept_down_by_the_calls_of_all(heads, cost, rate):
     fleet = Fleet(heads, cost)
--- a/tests/test_chunks.py
+++ b/tests/test_chunks.py
@@ -8,8 +8,9 @@
 import pytest
 
 from ochrespan.broker import Attempt, Request, Status
-from ochrespan.net.chunks import ChunkClient, Message, open_session, read_load
+from ochrespan.net.chunks import ChunkClient, Message, open_session
 from ochrespan.net.discovery import Directory
+from ochrespan.net.reports import read_load, read_units
 from ochrespan.settings import Links
 
 from .world import Node, is_open, play
@@ -167,7 +168,49 @@
     play(story())
 
 
-def test_load_reports_are_read_as_far_as_they_can_be():
+@pytest.mark.parametrize(("value", "figures", "faults"), [
     # the names are those of the settings' Report.Columns; under others every figure was dropped
-    assert read_load("TEXT concurrent=7, depth=2, load_share=0.61") == {"inflight": 7, "queue": 2, "util": 0.61}
-    assert read_load("TEXT depth=nan, load_share=, odd=3, tps=1e999,=") == {}
+    ("TEXT concurrent=7, depth=2, load_share=0.61", {"inflight": 7, "queue": 2, "util": 0.61}, []),
+    ("TEXT depth=nan, load_share=, odd=x, tps=1e999,=", {}, [".depth", ".load_share", ".tps"]),
+    ("TEXT depth=-1, load_share=1e300, concurrent=3", {"inflight": 3}, [".depth", ".load_share"]),
+    ("\x80 noise", {}, [""]),
+    ("", {}, []),
+])
+def test_load_reports_are_read_as_far_as_they_can_be_and_the_rest_is_told_by_place(value, figures, faults):
+    told = []
+    assert read_load(value, lambda *fault: told.append(fault)) == figures
+    assert [where.removeprefix("endpoint-load-metrics") for where, _, _ in told] == faults
+    assert all(found is not None and allowed for _, found, allowed in told)
+
+
+@pytest.mark.parametrize(("value", "units", "faults"), [
+    ("3.5", 3.5, 0), ("", 0, 0), ("-4", 0, 1), ("nan", 0, 1), ("1e999", 0, 1), ("x" * 9999, 0, 1)])
+def test_units_served_elsewhere_that_are_nonsense_are_none(value, units, faults):
+    told = []
+    assert read_units(value, lambda *fault: told.append(fault)) == units
+    assert len(told) == faults and all(len(found) <= 60 for _, found, _ in told)
+
+
+def test_nonsense_beside_answers_harms_none_of_them_and_writes_few_lines(caplog):
+    async def story():
+        node = Node(0)
+        await node.start()
+        directory = Directory()
+        directory.addresses["n"] = node.address
+        body = (b"HTTP/1.1 200 X\r\nContent-Length: 2\r\nX-Served-Elsewhere: much\r\n"
+                b"Endpoint-Load-Metrics: TEXT depth=-9, load_share=0.5\r\n\r\nok")
+        node.always = body
+        request = Request("v", "read", "gold", timedelta(seconds=5))
+        async with open_session(LINKS, 10) as session:
+            client = ChunkClient(session, directory)
+            for number in range(40):
+                attempt = Attempt(request, number, "n", timedelta(seconds=5))
+                outcome, answer = await client.send(attempt, Message("GET", "/x"))
+                assert outcome.status is Status.OK and answer.body == b"ok"
+                assert outcome.load == {"util": 0.5} and outcome.elsewhere == 0
+        lines = [record for record in caplog.records if record.getMessage() == "left out of an answer"]
+        assert [(line.place, line.number) for line in lines[:2]] == [
+            ("endpoint-load-metrics.depth", 1), ("x-served-elsewhere", 1)]
+        assert len(lines) == 2 * 6  # the 1st, 2nd, 4th ... 32nd of each
+
+    play(story())
