--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -413,10 +413,12 @@
         return node.wait * exp((node.seen_at - self.now) / (2 * self.patience))
 
     def _in_time(self, job: Job, node: Node) -> bool:
-        """Exception: a window is never under one request, so what is worth less waits for shorter queues."""
+        """Exception: a window is never under one request, so what is worth less, or has more time than the
+        most urgent, waits for shorter queues."""
         wait = self._wait(node)
         tier = 1.0 if self._reserved(job) else self.set.share_worth ** 0.5
         worth = job.cls.worth * job.flow.volume.plan.price * tier / self.most_worth
+        worth *= min(1.0, self.patience / job.cls.aim) ** 0.5
         return wait <= self.patience * worth and self.now + wait + self._need(node, job) <= job.aim_at
 
     def _pump(self, shard: int) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -156,6 +156,19 @@
     assert (head.nodes["n0"].window > 2) is widens
 
 
+@pytest.mark.parametrize(("queue_wait", "sent"), [(0.05, {"read", "export"}), (0.2, {"read"}), (0.6, set())])
+def test_what_has_time_leaves_a_queue_to_what_has_none(queue_wait, sent):
+    classes = {name: api.RequestClass(name, aim, 2 * aim) for name, aim in (("read", 0.5), ("export", 4.5))}
+    head = Scheduler(settings(classes=classes), 100.0)
+    head.handle(100.0, [NodeList(ListKind.FULL, [entry(0)])])
+    node = head.nodes["n0"]
+    node.wait, node.seen_at, node.best = queue_wait, 100.0, dict.fromkeys(classes, 0.01)
+    acts = head.handle(100.0, [api.Request(name, "v", name, "free", 9.0, 1, 0) for name in classes])
+    assert {act.request_id for act in acts if isinstance(act, api.Send)} == sent
+    acts = [act for at in range(1, 60) for act in head.handle(100.0 + 0.05 * at, [api.Timer(1)])]
+    assert "export" in sent or any(isinstance(act, api.Send) and act.request_id == "export" for act in acts)
+
+
 def test_a_zone_that_falls_silent_and_returns_cold_is_tried_seldom_and_not_pushed_over():
     room = Room(reports=True)
     room.run(8)
