Refuse what was not sent by half of its time on a timer of its own, wherever it stands

At fault: `_heads` looked at `half_at` at ticks of 20 ms with a margin of one, and only at the first of each flow's queue.

Changed: each request has an entry in the heap of ends at half of its time less 15 ms, which ends it if nothing was sent; `_heads` and `Job` lose theirs. Requests that wait for their key's turn are ended so too.

The new test fails without the change.

--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -28,6 +28,7 @@
 CHOICES = 5  # nodes looked at for a new object
 IDLE_FLOW = 30.0  # s, after which an idle flow leaves the table
 TICK = 0.02  # s between looks at what waits
+HALF_LESS = 0.015  # s before half of its time what is unsent is refused: the way there and back takes some
 FAILS = 4  # failures in a row from which the back-off stays; worth a log line
 COLD_SAFETY = 0.8  # part of the cold budget that is used: chance and handshakes take the rest
 USUAL = 0.8  # kept from round to round of what was asked of each shard: five seconds tell what is usual
@@ -93,7 +94,7 @@
                         self._end_by(job, at)
         while self.ends and self.ends[0][0] <= self.now:
             job = heapq.heappop(self.ends)[2]
-            if not job.done:
+            if not job.done and (self.now >= job.end_at or not job.attempts):
                 self._finish(job)
         if self.now >= self.round_at:
             self._round()
@@ -146,12 +147,13 @@
         most = self.longest[req.cls] = max(left, self.longest.get(req.cls, 0.0))
         # with less than its aim it is hardly one: they come sooner; its client gives up early
         aim_at = self.now + (left if left < cls.aim else cls.aim + left - most)
-        half_at = self.now + left / 2 - TICK - self.set.step
-        job = self.jobs[req.id] = Job(req, cls, flow, self.now, aim_at, half_at)
+        job = self.jobs[req.id] = Job(req, cls, flow, self.now, aim_at)
         self.taken.add(self.now, 1)
         self.asked[req.shard] = self.asked.get(req.shard, 0.0) + req.units
         self.asked_all += req.units
         self._end_by(job, min(self.stop_at, self.now + left - 2 * self.set.step - 0.001))
+        # unsent by then, whatever it stands behind: its client could have asked elsewhere
+        heapq.heappush(self.ends, (self.now + left / 2 - HALF_LESS - self.set.step, next(self.count), job))
         if cls.in_order and req.key:
             turn = self.turns.setdefault(req.key, deque())
             turn.append(job)
@@ -377,8 +379,7 @@
             while queue:
                 job, nodes = queue[0], self.by_shard.get(queue[0].req.shard, ())
                 need = min([self._need(node, job) for node in nodes] or [self._absence(job.req.shard)])
-                unsent = not job.attempts and self.now > job.half_at  # its client could have asked elsewhere
-                if not job.done and not unsent and self.now + need <= job.aim_at:
+                if not job.done and self.now + need <= job.aim_at:
                     yield job
                     break
                 queue.popleft()
--- a/ochrespan/state.py
+++ b/ochrespan/state.py
@@ -74,7 +74,6 @@
     flow: Flow
     taken_at: float
     aim_at: float
-    half_at: float = inf  # half of its time has passed by then
     end_at: float = inf
     promoted: bool = False
     done: bool = False
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -169,6 +169,22 @@
     assert "export" in sent or any(isinstance(act, api.Send) and act.request_id == "export" for act in acts)
 
 
+def test_what_was_not_sent_is_refused_by_half_of_its_time_also_behind_what_has_more_of_it():
+    head = Scheduler(settings(), 100.0)
+    head.handle(100.0, [NodeList(ListKind.FULL, [entry(0)])])
+    head.nodes["n0"].wait, head.nodes["n0"].seen_at = 50.0, 100.0  # too long a queue for any
+    lefts = {"long": 3.0, "short": 0.4, "shorter": 0.2}  # as clients ask that give up early; one flow
+    now, ended = 100.0, {}
+    asked: list[api.Event] = [api.Request(name, "v", "read", "free", left, 1, 0) for name, left in lefts.items()]
+    while len(ended) < 3:
+        acts = head.handle(now, asked or [api.Timer(1)])
+        asked = []
+        ended |= {act.request_id: now - 100.0 for act in acts if isinstance(act, api.Refuse)}
+        now += next(act.delay for act in reversed(acts) if isinstance(act, api.SetTimer))
+    assert all(ended[name] <= left / 2 - 0.01 for name, left in lefts.items() if name != "long"), ended
+    assert ended["short"] > 0.15 and ended["shorter"] > 0.05
+
+
 def test_a_zone_that_falls_silent_and_returns_cold_is_tried_seldom_and_not_pushed_over():
     room = Room(reports=True)
     room.run(8)
