--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,6 +1,7 @@
 """Many heads before few chunk servers on a virtual clock: what each learns alone, and what they do together."""
 
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 
 import pytest
@@ -50,6 +51,8 @@
         self.taken: set[str] = set()  # requests that are owed an end
         self.out: set[str] = set()  # requests with an attempt out
         self.trials = 0  # attempts at silent servers
+        self.spoilt: dict[Status, float] = {}  # parts of attempts that end so, though the server took them
+        self.ends: Counter[Status] = Counter()
         self.servers = [Server(entry(i)) for i in range(shards)]
         self.by_id = {server.node.id: server for server in self.servers}
         told = settings(heads=heads, shards=shards, **COLD)
@@ -68,8 +71,8 @@
             old, new = self.servers[i].node, entry(i, f"new{i}", started_at=self.now)
             changes += [api.NodeEntry(old.id, old.shard, api.NodeState.GONE), new]
             self.servers[i] = self.by_id[new.id] = Server(new)
-        for head in self.heads:
-            head.handle(self.now, [NodeList(ListKind.DELTA, changes)])
+        for rank, head in enumerate(self.heads):
+            self.hear(rank, head.handle(self.now, [NodeList(ListKind.DELTA, changes)]))
         return [self.servers[i] for i in shards]
 
     def run(self, seconds: float) -> None:
@@ -103,10 +106,13 @@
             self.out.add(action.request_id)
             at, report = server.take(self.now, job.req.units) if not server.silent else (1e9, {})
             self.trials += server.silent
-            ok = at <= self.now + action.timeout
-            at = min(at, self.now + action.timeout)
-            answer = api.Outcome(action.request_id, job.attempts - 1, action.node,
-                                 Status.OK if ok else Status.TIMEOUT, at - self.now, ok,
+            status = Status.OK if at <= self.now + action.timeout else Status.TIMEOUT
+            for spoilt, part in self.spoilt.items():
+                status = spoilt if self.lot.random() < part else status
+            at = self.now + action.timeout if status is Status.TIMEOUT else min(at, self.now + action.timeout)
+            ok = status is Status.OK
+            self.ends[status] += 1
+            answer = api.Outcome(action.request_id, job.attempts - 1, action.node, status, at - self.now, ok,
                                  report if self.reports and ok else {})
             self.answers[rank].append((at, answer))
 
@@ -214,6 +220,23 @@
     assert not any(head.jobs for head in room.heads)
 
 
+def test_lost_answers_and_resets_under_a_release_that_is_told_late_leave_one_end_each_and_one_attempt_out():
+    room = Room(reports=True)
+    room.run(2)
+    room.spoilt = {Status.TIMEOUT: 0.1, Status.RESET: 0.1, Status.ERROR: 0.05}
+    gone = room.servers[:12]
+    for server in gone:
+        server.silent = True  # no list says so yet
+    room.run(3)
+    room.replace(range(12))
+    room.run(3)
+    room.spoilt = {}
+    room.rate = 0.0
+    room.run(5)  # `hear` has checked each send and each end
+    assert all(room.ends[status] > 100 for status in (Status.TIMEOUT, Status.RESET, Status.ERROR)), room.ends
+    assert not room.taken and not room.out and not any(head.jobs for head in room.heads)
+
+
 def test_nothing_new_goes_to_drained_servers_though_they_are_told_twice_and_their_successors_late():
     room = Room(reports=True)
     room.run(4)
