--- a/ochrespan/broker.py
+++ b/ochrespan/broker.py
@@ -169,7 +169,9 @@
             held.step = self._loop.create_future()
             if held.final:
                 held.step.set_result(held.final)
-        status = Status.CANCELLED if outcome.attempt.revoked and not served else outcome.status
+        status = outcome.status
+        if outcome.attempt.revoked and not served and status not in NEVER_RAN:
+            status = Status.CANCELLED
         self.counts.outcomes[status] += 1
         held.ran += status not in NEVER_RAN
         if outcome.elsewhere and held.hold is not None and self._gate is not None:
--- a/ochrespan/net/discovery.py
+++ b/ochrespan/net/discovery.py
@@ -101,6 +101,11 @@
         self.revision: int | None = None
         self._odd: set[str] = set()  # phases that are not known
 
+    def takes(self, node: str) -> bool:
+        """Whether something new may be sent there, as of now: an attempt may have waited since it was decided."""
+        entry = self._nodes.get(node)
+        return node in self.addresses and (entry is None or entry.state is NodeState.READY)
+
     def apply(self, listing: Any) -> tuple[ListKind, list[Node]]:
         """Takes in one of discovery's lists, whole or not at all."""
         complete, revision, read = read_list(listing)
