End a front by its settings' deadlines, without losing what is on its way

Seen with real sockets: with deadlines of 0.42 s a request was answered 1.16 s after SIGTERM, SIGKILL may come at 1.12; of 60 connections that waited when accepting ended 16 were taken; an answer read slowly left its connection QUIET; SIGTERM and SIGINT at the start ended with -15 and -2; bytes ahead above 16 KiB were left out in the middle; a reset under an upload whose body waits was not heard. At fault: drain's fixed 1.55 s, stop_accepting's one _accept of 16, guard.done in the turn of the handler's end, lifecycle.working as the only sign of work, SIGHUP alone blocked at the start, Guard._ahead, reading paused. Ruled out: a FIN behind an upload's bytes (heard before too), SIGHUP before its handler.

ending.py plans the phases; Listener.occupied looks at states, unsent bytes and the kernel; signals wait from __main__ on.

--- a/ochrespan/front.py
+++ b/ochrespan/front.py
@@ -15,6 +15,7 @@
 
 from . import config, logs
 from .broker import Broker
+from .ending import plan
 from .lifecycle import Lifecycle, Phase
 from .net import discovery
 from .net.chunks import ChunkClient, open_session
@@ -29,15 +30,10 @@
 
 log = logging.getLogger("ochrespan")
 
-# After SIGTERM new connections come for up to 0.4 s. Clients go on using those they have, since no other front
-# serves their volumes, until SIGKILL: it comes the longest deadline, at most 3 s, and 0.7 s later or after that.
-ACCEPTS = timedelta(seconds=0.8)
-LONGEST, PATIENCE = timedelta(seconds=3), timedelta(seconds=0.7)
-CLOSING = timedelta(seconds=0.75)  # so long before SIGKILL each answer ends its connection ...
-ANSWERED = timedelta(seconds=0.4)  # ... every request has its final answer ...
-GONE = timedelta(seconds=0.3)  # ... and the program ends
 GRACE = timedelta(seconds=0.1)  # for what shuts down
 LOOK = timedelta(seconds=0.02)
+LAST = timedelta(seconds=0.1)  # for what arrived in the very last moment
+SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
 
 
 class Reloads:
@@ -97,22 +93,26 @@
 ) -> None:
     """From SIGTERM on: serves for as long as the platform lets us, and ends with nothing unanswered."""
 
-    async def wait(until: timedelta, wanted: Callable[[], object]) -> None:
+    async def wait(until: timedelta, wanted: Callable[[], object] = lambda: True) -> None:
         while wanted() and loop.time() < began + until.total_seconds():
             await asyncio.sleep(LOOK.total_seconds())
 
+    def connected() -> object:
+        waiting = [listener for listener in listeners if not listener.stop_accepting()]
+        return waiting or any(listener.connections for listener in listeners)
+
     loop = asyncio.get_running_loop()
     began = loop.time()
-    longest = max((timedelta(seconds=cls.deadline) for cls in told.settings.classes.values()), default=LONGEST)
-    killed = max(min(longest, LONGEST) + PATIENCE, ACCEPTS + CLOSING)
-    await asyncio.sleep(ACCEPTS.total_seconds())
-    for listener in listeners:
-        listener.stop_accepting()
-    await wait(killed - CLOSING, lambda: any(listener.connections for listener in listeners))
+    ending = plan(timedelta(seconds=cls.deadline) for cls in told.settings.classes.values())
+    await wait(min(ending.accepts, ending.closing))
+    if ending.accepts < ending.closing:
+        await wait(ending.closing, connected)
     lifecycle.advance(Phase.CLOSING)
-    broker.end_within(CLOSING - ANSWERED)
+    broker.end_within(ending.answered - ending.closing)
+    await wait(ending.accepts)
+    await wait(ending.gone, connected)
     # a client that does not read its answer may not hold us
-    await wait(killed - GONE, lambda: lifecycle.working)
+    await wait(ending.gone + LAST, lambda: any(listener.occupied for listener in listeners))
     if lifecycle.working:
         log.warning("ends with answers that were not read", extra={"requests": lifecycle.working})
 
@@ -134,7 +134,7 @@
         core.handlers["platform"] = PlatformFront(core).handle
         running = start(extra, core)
         loop.add_signal_handler(signal.SIGHUP, Reloads(told, watch, path, running))
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
         fronts: list[tuple[Server, tuple[str, int]]] = [
             (Http1Server(core.handlers["platform"], MOST_BODY), told.listen)]
         fronts += [front for one in running.values() for front in one.fronts]
@@ -152,14 +152,16 @@
         for task in tasks:
             task.cancel()
         broker.close()
+    # what comes now has nothing to end: without its handler, which goes with the loop, it would kill
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     lifecycle.advance(Phase.STOPPED)
 
 
 def run(path: Path | None = None, log_format: str = "") -> int:
     """Runs one front until it is told to end; `path`: the operator's file. Returns the exit code."""
     logs.set_up(log_format)
-    # a reload may be asked for while the files are being read: it waits until it can be heard
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    # signals may come while the files are being read: they wait until they can be heard
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     extra = None
     try:
         told = config.load(os.environ)
--- a/ochrespan/net/answers.py
+++ b/ochrespan/net/answers.py
@@ -80,7 +80,7 @@
     def expect(self) -> None:
         """To be called right before the first byte of a request is written."""
         transport = self.transport
-        if transport is None or transport.is_closing() or readable(transport):
+        if transport is None or transport.is_closing() or waits_for(transport, select.POLLIN):
             if transport is not None:
                 transport.abort()
             raise Stale("the connection has been closed or holds what was not asked for")
@@ -114,8 +114,11 @@
             self.transport.abort()
 
 
-def readable(transport: Any) -> bool:
-    """Whether something has come, or the other end has closed, that the loop has not seen yet."""
+def waits_for(transport: Any, what: int) -> bool:
+    """Whether the kernel has it for the connection's socket, though the loop may not have seen it yet."""
+    number = transport.get_extra_info("socket").fileno()
+    if number < 0:
+        return False
     poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    poll.register(number, what)
     return bool(poll.poll(0))
--- a/ochrespan/net/guard.py
+++ b/ochrespan/net/guard.py
@@ -27,12 +27,15 @@
     SILENT = "silent"  # nothing has come yet
     READING = "reading"  # part of a request
     BUSY = "busy"  # a request is being answered
+    WRITING = "writing"  # its answer is not yet all with the kernel: its client reads slowly
     QUIET = "quiet"  # between requests
     LEAVING = "leaving"  # is being closed, or reads the error that ends it
     CLOSED = "closed"
 
 
-LIMITS = {State.SILENT: REQUEST_TIME, State.READING: REQUEST_TIME, State.QUIET: IDLE_TIME, State.LEAVING: LINGER}
+LIMITS = {State.SILENT: REQUEST_TIME, State.READING: REQUEST_TIME, State.QUIET: IDLE_TIME, State.LEAVING: LINGER,
+          State.WRITING: REQUEST_TIME}
+FLUSHED = timedelta(seconds=0.02)  # between looks at an answer that a client does not take at once
 
 
 class RequestFramer(Framer):
@@ -63,6 +66,7 @@
         self._held = bytearray()  # of the request that is being read
         self._ahead = bytearray()  # of what comes before its answer is out
         self._discarded = 0
+        self._unsent = 0  # bytes of an answer at the last look
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
@@ -87,21 +91,29 @@
             self._discarded += len(data)
             if self._discarded > MOST_DISCARDED and self.transport is not None:
                 self.transport.pause_reading()
-        elif self.state is State.BUSY and self._framer is None:
-            if len(self._ahead) < MOST_AHEAD:  # a client that sends more has not kept to one request at a time
-                self._ahead += data
+        elif self.state is State.WRITING or (self.state is State.BUSY and self._framer is None):
+            self._ahead += data[:MOST_AHEAD + 1 - len(self._ahead)]
         else:
             self._read(data)
 
     def done(self) -> None:
-        """The answer is out."""
-        if self.state is not State.BUSY:
+        """The answer is written; it is out once the kernel has it all."""
+        if self.state not in (State.BUSY, State.WRITING):
+            return
+        unsent = 0 if self._transport.is_closing() else self._transport.get_write_buffer_size()
+        if unsent:
+            if self.state is State.BUSY or unsent < self._unsent:  # it takes some: its time counts anew
+                self._enter(State.WRITING)
+            self._unsent = unsent
+            self._loop.call_later(FLUSHED.total_seconds(), self.done)
             return
         if self._framer is not None:  # answered before its body had come; the handler closes
             self._enter(State.LEAVING)
             return
         self._enter(State.QUIET)
-        if self._ahead:
+        if len(self._ahead) > MOST_AHEAD:  # what was not kept of them is missing somewhere in the middle
+            self.refuse(HTTPStatus.BAD_REQUEST, "more came ahead of an answer than one request at a time")
+        elif self._ahead:
             ahead, self._ahead = bytes(self._ahead), bytearray()
             self._read(ahead)
 
--- a/ochrespan/net/listener.py
+++ b/ochrespan/net/listener.py
@@ -4,17 +4,20 @@
 
 import asyncio
 import logging
+import select
 import socket
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, Protocol
 
+from .answers import waits_for
 from .guard import LIMITS, State
 
 log = logging.getLogger(__name__)
 
 RESERVE = 48  # descriptors for the rest: log, discovery, listeners, sinks, what is being closed
 BACKLOG = 1024
+HUNG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 AT_ONCE = 16  # connections taken in one turn of the loop: the rest of the program has its turns between
 LOOK = timedelta(seconds=0.2)  # between looks at whose time is up
 SPARE = {  # who has to go when a descriptor is needed, from what age on
@@ -82,23 +85,29 @@
             self._spare(State.QUIET)
 
     def _accept(self) -> None:
-        assert self._socket is not None
         for _ in range(AT_ONCE):
-            if len(self._states) + len(self._arriving) >= self._most and not self._make_room():
-                self._pause()  # until somebody leaves
-                return
-            try:
-                sock, _ = self._socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
-            except OSError as why:
-                log.warning("cannot take a connection", extra={"why": str(why)})
-                self._pause()
+            if not self._accept_one():
                 return
-            sock.setblocking(False)
-            task = self._loop.create_task(self._loop.connect_accepted_socket(self._make, sock))
-            self._arriving.add(task)
-            task.add_done_callback(self._arrived)
+
+    def _accept_one(self) -> bool:
+        """Whether one was taken: else none is waiting, or there is no room (and then we do not listen)."""
+        assert self._socket is not None
+        if len(self._states) + len(self._arriving) >= self._most and not self._make_room():
+            self._pause()  # until somebody leaves
+            return False
+        try:
+            sock, _ = self._socket.accept()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            return False
+        except OSError as why:
+            log.warning("cannot take a connection", extra={"why": str(why)})
+            self._pause()
+            return False
+        sock.setblocking(False)
+        task = self._loop.create_task(self._loop.connect_accepted_socket(self._make, sock))
+        self._arriving.add(task)
+        task.add_done_callback(self._arrived)
+        return True
 
     def _arrived(self, task: asyncio.Task[Any]) -> None:
         self._arriving.discard(task)
@@ -131,6 +140,11 @@
             for guard in list(self._held[state]):
                 if self._loop.time() - guard.since > limit.total_seconds():
                     guard.expire()
+        for guard in list(self._held[State.BUSY]):
+            transport = guard.transport
+            # while a body waits to be taken nobody reads, and nobody would hear that its client has left
+            if transport is not None and not transport.is_reading() and waits_for(transport, HUNG_UP):
+                transport.abort()
         self._listen()
         self._look = self._loop.call_later(LOOK.total_seconds(), self._look_round)
 
@@ -149,17 +163,45 @@
         self._socket.listen(BACKLOG)
         self._look_round()
 
-    def stop_accepting(self) -> None:
+    @property
+    def occupied(self) -> bool:
+        """Whether a request, or its answer, is on its way on any connection: also one that nobody has read yet."""
+        return bool(self._arriving) or any(self._busy(guard) for guard in self._states)
+
+    @staticmethod
+    def _busy(guard: Connection) -> bool:
+        if guard.state in (State.READING, State.BUSY, State.WRITING):
+            return True
+        transport = guard.transport
+        return transport is not None and not transport.is_closing() and (
+            transport.get_write_buffer_size() > 0 or waits_for(transport, select.POLLIN))
+
+    def stop_accepting(self) -> bool:
+        """Takes all that has come already, and closes; False where there is no room for it yet: to be asked again."""
+        if self._socket is None:
+            return True
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN)
+        while poll.poll(0):
+            if not self._accept_one():
+                return False
+        self._close()
+        return True
+
+    def _close(self) -> None:
         if self._socket is not None:
-            self._accept()  # what has come already is still taken
-            self._pause()
+            self._loop.remove_reader(self._socket.fileno())
+            self._listening = False
             self._socket.close()
             self._socket = None
 
     async def shutdown(self, timeout: timedelta) -> None:
-        self.stop_accepting()
+        self._close()
         if self._look is not None:
             self._look.cancel()
+        for guard in list(self._states):
+            if guard.transport is not None and guard.state in (State.SILENT, State.QUIET):
+                guard.transport.close()
         await self._server.shutdown(timeout)
         for guard in list(self._states):
             if guard.transport is not None:
