Take answers without a length that end with their connection, and none that is reset

`Framer._read_head` refused every answer without a length as unreadable, so each of them was an error: a request that may not be repeated failed, others were sent again.

Change: an answer that tells no length and says `Connection: close` is read to the end of the connection; `eof_received` makes it whole (it then goes on with a length), a reset makes it RESET, as any answer that breaks off. Without `close` it stays unreadable at once: the connection would stay open under it. The bound on bodies holds.

Ruled out: that the FIN could follow a cut body. Every byte the peer sent before a FIN has come when it is read. Test: twelve cases on raw sockets; six of them fail on the code before.

--- a/ochrespan/net/answers.py
+++ b/ochrespan/net/answers.py
@@ -39,6 +39,11 @@
     def _bodiless(self) -> bool:
         return self.first is not None and (self.first[1][:1] == b"1" or self.first[1] in (b"204", b"304"))
 
+    def _open_ended(self) -> bool:
+        # one that does not say that it ends the connection could be any answer that lost its length on the way
+        said = b",".join(value for name, value in self.fields if name == b"connection").lower()
+        return b"close" in map(bytes.strip, said.split(b","))
+
 
 class AnswerReader:
     """One answer, from its first byte to its last; 1xx heads before it are skipped."""
@@ -60,6 +65,13 @@
         self.rest = data
         return bytes(self._held)
 
+    def end(self) -> bytes | None:
+        """The whole answer, if it is one that the connection's end makes whole; it then has a length."""
+        if not self._framer.open_ended:
+            return None
+        head, body = self._held[:len(self._framer.head) - 2], self._held[len(self._framer.head):]
+        return b"%bContent-Length: %d\r\n\r\n%b" % (head, len(body), body)
+
     def _take(self, data: bytes) -> bytes:
         framer = self._framer
         used = framer.take(data)
@@ -107,6 +119,13 @@
         if rest:
             self._drop()
 
+    def eof_received(self) -> None:
+        """The peer ended its sending. A connection that is reset never comes here: its answer may lack its tail."""
+        reader, self._reader = self._reader, None
+        if reader is not None and (answer := reader.end()) is not None:
+            super().data_received(answer)
+        super().eof_received()
+
     def _drop(self) -> None:
         """The connection may bring anything now; its socket closes before anything else can be sent on it."""
         self.force_close()
--- a/ochrespan/net/framing.py
+++ b/ochrespan/net/framing.py
@@ -34,8 +34,9 @@
         self.first: re.Match[bytes] | None = None  # the first line, once the head is whole
         self.fields: list[tuple[bytes, bytes]] = []  # names in small letters
         self.whole = False
+        self.open_ended = False  # the end of the connection is the end of its body
         self._left = 0  # bytes of the body, or of the chunk that has begun with its line's end
-        self._size: int | None = None  # of the body's chunks so far; None: it does not come in chunks
+        self._size: int | None = None  # of the body so far, where no length is told; None: one is
         self._last = False
         self._line = b""
 
@@ -47,13 +48,22 @@
         """Whether no body follows this head, whatever it says."""
         raise NotImplementedError
 
+    def _open_ended(self) -> bool:
+        """Whether a head that tells no length says that its body goes on until the connection ends."""
+        return False
+
     def take(self, data: bytes) -> int:
         """Takes in what belongs to the message, and returns how many bytes that was."""
         used = 0
         if self.first is None:
             used = self._take_head(data)
         if self.first is not None and not self.whole:
-            used = self._take_body(data, used) if self._size is None else self._take_chunks(data, used)
+            if self.open_ended:
+                self._size = (self._size or 0) + len(data) - used
+                self._bounded(self._size)
+                used = len(data)
+            else:
+                used = self._take_body(data, used) if self._size is None else self._take_chunks(data, used)
         return used
 
     def _take_head(self, data: bytes) -> int:
@@ -93,7 +103,9 @@
                 raise Unreadable("the length is told in two ways, or in an unknown one")
             self._size = 0
             return
-        # an answer that only the connection's end bounds may have lost its tail: a length is wanted
+        if not lengths and self._open_ended():
+            self.open_ended = True
+            return
         if len(lengths) != 1 or not lengths[0].isdigit() or len(lengths[0]) > 18:
             raise Unreadable("the length is missing or no length")
         self._left = int(lengths[0])
--- a/tests/test_chunks.py
+++ b/tests/test_chunks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 import threading
 from contextlib import suppress
 from datetime import timedelta
@@ -9,6 +10,7 @@
 import pytest
 
 from ochrespan.broker import Attempt, Request, Status
+from ochrespan.net.answers import MOST_BODY
 from ochrespan.net.chunks import ChunkClient, Message, open_session
 from ochrespan.net.discovery import Directory
 from ochrespan.net.reports import read_load, read_units
@@ -335,3 +337,38 @@
             assert len(await raw.rest(sock)) < UNREAD
 
     play(story())
+
+
+OPEN = b"HTTP/1.1 200 X\r\nConnection: %b\r\n\r\n"
+
+
+@pytest.mark.parametrize("seen", [True, False])
+@pytest.mark.parametrize(("how", "said", "end", "wanted"), [
+    ("ended", b"close", b"", Status.OK), ("ended", b"x, Close", b"", Status.OK), ("reset", b"close", b"", Status.RESET),
+    ("ended", b"keep-alive", b"", Status.ERROR), ("half", b"close", b"", Status.RESET),
+    ("ended", b"close", b"x" * MOST_BODY, Status.ERROR)])
+def test_an_answer_without_a_length_is_whole_when_its_connection_ends_and_not_when_it_is_reset(
+        how, said, end, wanted, seen):
+    """All of them counted as errors, also the good ones."""
+    async def story():
+        raw = Raw()
+        async with open_session(LINKS, 10) as session:
+            task = asyncio.create_task(ChunkClient(session, raw.directory).send(
+                attempt_at(), Message("GET", "/x")))
+            sock = await raw.accept()
+            loop = asyncio.get_running_loop()
+            await loop.sock_recv(sock, 4096)
+            head = OPEN % said
+            with suppress(ConnectionError):
+                await loop.sock_sendall(sock, head[:-2] if how == "half" else head + b"some" + end)
+            if seen:  # the front has it all before the end comes
+                await asyncio.sleep(0.1)
+            if how == "reset":
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            sock.close()
+            outcome, answer = await asyncio.wait_for(task, 4)
+            assert outcome.status is wanted
+            if wanted is Status.OK:
+                assert answer.body == b"some"
+
+    play(story())
