Watch discovery also where the settings say that lists are pushed

Cause: in the simulator `Discovery=pushed` delivers changes unprompted, and `Scheduler` then never asks. On the wire nothing comes unasked: a front with such settings opened no watch at all and kept its known list for good.

`Asking` then calls first without a lot, and repeats within 0.5 s, since the time of a drain runs meanwhile. The simulator's host is as it was: told unasked, it does not ask.

Tests: a process with pushed lists hears a drain (fails on the code before), the plan of calls, the simulator's host.

--- a/ochrespan/asking.py
+++ b/ochrespan/asking.py
@@ -14,6 +14,7 @@
 
 EACH = 0.1  # s of discovery's time that a head reckons with for each other head's call
 LEAST, MOST = 0.1, 2.0  # s, the shortest wait, and the bound of the longest one where few heads ask
+AT_ONCE = 0.5  # s, the bound of the longest wait where news counts as told at once: the time of a drain runs
 STANDS = 1.5  # s that an old address serves the watches it has, and news of it is heard, after a move
 PART = 0.4  # of the time that the rules allow without asking: bounds the first waits; twice that, all
 
@@ -26,8 +27,9 @@
 
     def __init__(self, heads: int, within: float | None, lot: Random, now: float) -> None:
         self._within, self._lot = within, lot
-        self._crowd = min(EACH * max(0, heads - 1), PART * (within or inf))
-        self._most = max(MOST, 2 * self._crowd)
+        # 0: all news counts as told at once, whether or not it was asked for, so the plan waits for nobody
+        self._crowd = min(EACH * max(0, heads - 1), PART * (inf if within is None else within))
+        self._most = max(MOST, 2 * self._crowd) if within != 0 else AT_ONCE
         self._wait = max(2 * LEAST, self._crowd)
         self._moving = False  # to ask at a new address, by a lot that nothing changes
         self.at = now + self._crowd * lot.random()  # heads may all have started now
--- a/ochrespan/config.py
+++ b/ochrespan/config.py
@@ -112,7 +112,10 @@
         try:
             fields = flatten(told)
             fields["InitSeed"] = str(seed)
-            return read_settings(fields), read_links(fields)
+            settings = read_settings(fields)
+            if not settings.list_on_request:  # pushed, but not to whoever does not watch: on the wire nothing comes
+                settings.list_on_request, settings.ask_within = True, 0.0  # unasked, and all counts as told at once
+            return settings, read_links(fields)
         except (LookupError, TypeError, ValueError, AttributeError) as why:
             self.faults.append(f"{self.path}: settings: {why}")
             return None, None
--- a/ochrespan/interface.py
+++ b/ochrespan/interface.py
@@ -93,7 +93,7 @@
     plans: dict[str, Plan] = field(default_factory=dict)
     step: float = 0.0  # least time between batches
     list_on_request: bool = False
-    ask_within: float | None = None
+    ask_within: float | None = None  # how long a head may go without asking; 0: what it could hear counts as told
     can_cancel: bool = False
     can_probe: bool = False
     second_copies: bool = False
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -123,3 +123,17 @@
     fleet.up, fleet.busy_until = True, fleet.now
     fleet.run(20)
     assert not fleet.unheard, fleet.unheard
+
+
+def test_where_news_counts_as_told_at_once_the_first_call_waits_for_nothing_and_repeats_come_soon():
+    for rank in range(50):
+        plan, now = Asking(200, 0.0, random.Random(rank), 100.0), 100.0
+        assert plan.due(now) and not plan.due(now + 1000)
+        for _ in range(12):
+            plan.failed(now)
+            assert now < plan.at <= now + 0.5
+            now = plan.at
+            assert plan.due(now)
+        plan.told()
+        plan.moved(now)
+        assert plan.due(now)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -151,9 +151,11 @@
     play(story())
 
 
-def test_a_drained_node_gets_nothing_new_and_a_failed_watch_is_taken_up_again():
+@pytest.mark.parametrize("discovery", ["on_request", "pushed"])
+def test_a_drained_node_gets_nothing_new_and_a_failed_watch_is_taken_up_again(discovery):
+    """Where the settings say that lists are pushed, nobody watched: no change was ever heard of."""
     async def story():
-        world = World(2)
+        world = World(2, Discovery=discovery)
         world.failing = 2
         async with world:
             world.nodes[0].always = "any"
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -132,3 +132,10 @@
     assert outcome.status is Status.OK and outcome.report == {"qps": 3}
     assert (outcome.used, outcome.elsewhere) == (None, 0.0)
     assert read_request({"RequestId": "r", "LeftNs": "1000", "NHosts": "inf"}).hosts == 0
+
+
+def test_who_is_told_unasked_does_not_ask_and_who_is_not_does():
+    later = [batch(n, 1000 * n, "CONTEXT I=h_1", "DUE Nonce=1") for n in range(2, 6)]
+    for told, asks in (("Discovery=pushed", False), ("Discovery=on_request Obligations.AskWithinNs=1000000000", True)):
+        out, _ = play(batch(1, 0, "CONTEXT I=h_1", f"PROVISION {INFO} {told}", *LIST), *later)
+        assert any(line.startswith("WATCH") for line in out) is asks
