Take back an attempt when its request has its final answer, also where Cancel is off

Cause: `Broker._ended` kept a final refusal or failure until the attempt that was out had ended, and relied on the module's `Cancel` for that. Where `Limits.Cancel` is false the module says none: the answer waited for the attempt's own time-out. In a drain that was after the end of the program, and the request was lost.

Seen: a stalled chunk server, a request 2.5 s after SIGTERM, `Limits.Cancel` false: connection closed without an answer. Change: the core revokes the attempt itself; on the wire abandoning is closing a connection, which the protocol allows on every site. Ruled out: that the module's own limits end it sooner (they follow the class's aim, not the end). Test: the same at both settings; it fails for false on the code before.

--- a/ochrespan/broker.py
+++ b/ochrespan/broker.py
@@ -271,8 +271,10 @@
     def _ended(self, request_id: str, final: Refused | Failed) -> None:
         if held := self._by_id.get(request_id):
             held.final = final
-            if held.out is None:  # else once its attempt has been taken back
+            if held.out is None:
                 self._step(held, final)
+            else:  # the answer follows once it is; whatever a simulator lets cancel, a connection can be closed
+                held.out.revoke()
 
     def _step(self, held: _Held, step: Attempt | Refused | Failed) -> None:
         if held.step is not None and not held.step.done():
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -58,6 +58,29 @@
     play(story())
 
 
+@pytest.mark.parametrize("cancel", [True, False])
+def test_what_the_module_gives_up_at_the_end_is_answered_then_also_where_attempts_may_not_be_cancelled(cancel):
+    """It waited for its attempt's own time, which ended after SIGKILL may come."""
+    async def story():
+        async with World(1, Limits__Cancel=cancel) as world:
+            world.nodes[0].always = "any"
+            kept = await asyncio.open_connection("127.0.0.1", world.port)
+            began = time.monotonic()
+            world.stop()
+            for at, wanted in ((1.0, b"200"), (2.5, b"503")):
+                await asyncio.sleep(began + at - time.monotonic())
+                kept[1].write(raw("GET"))
+                head = await asyncio.wait_for(kept[0].readuntil(b"\r\n\r\n"), 5)
+                assert head.startswith(b"HTTP/1.1 " + wanted)
+                if wanted == b"200":
+                    await kept[0].readexactly(int(head.lower().split(b"content-length: ")[1].split(b"\r")[0]))
+                world.nodes[0].always = "stall"
+            assert time.monotonic() - began < 3.6  # SIGKILL may come at 3.7
+            assert await asyncio.wait_for(world.process.wait(), 20) == 0
+
+    play(story())
+
+
 class Idle:
     """Connections of a listener of which nothing is known but their state."""
 
