Pass a client's end-to-end headers on, so that a keyed request keeps its key

Cause: `PlatformFront._serve` built an attempt from X-Trace-Id and Content-Type alone. Where a class's repeats are known by a key (effect `guarded`), its clients send `Idempotency-Key`; the chunk server got none.

A probe of what came and what went out showed the one header. Ruled out: method, path, query and body, which were alike; pushed lists and zones, which have nothing to do with it.

Change: all headers of a request go on with each attempt, except the connection's own (RFC 9110, section 7.6.1), those that the front reads or tells itself (the token of a contract among them), and those that ask for less than a whole answer. Requests without further headers go out as before. Test: a raw request with two attempts; fails on the code before.

--- a/ochrespan/net/chunks.py
+++ b/ochrespan/net/chunks.py
@@ -15,6 +15,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from multidict import CIMultiDict
 from yarl import URL
 
 from ..broker import Broker
@@ -135,7 +136,7 @@
     method: str
     target: str  # path and query, as on the wire
     body: bytes = b""
-    headers: dict[str, str] = field(default_factory=dict)
+    headers: CIMultiDict[str] = field(default_factory=CIMultiDict)
     served: frozenset[int] = frozenset({200})  # the statuses that answer it
     check: Callable[[Answer], bool] = lambda answer: True  # whether a whole answer is what was asked for
 
@@ -213,7 +214,8 @@
             raise aiohttp.ClientConnectionError("no address for the chunk server")
         PROGRESS.set(progress)
         wait = max(1, attempt.timeout // timedelta(milliseconds=1))
-        headers = message.headers | {"X-Expires-In-Ms": str(wait)}
+        headers = CIMultiDict(message.headers)
+        headers["X-Expires-In-Ms"] = str(wait)
         while True:
             try:
                 response = await self._session.request(
--- a/ochrespan/net/platform.py
+++ b/ochrespan/net/platform.py
@@ -7,6 +7,8 @@
 import re
 from datetime import timedelta
 
+from multidict import CIMultiDict
+
 from ..exchange import BadBody, Exchange, Reply
 from ..logs import bind
 from ..requests import Claim, Failed, NotCovered, OverBudget, Refused, Request, Unacceptable
@@ -20,6 +22,14 @@
 WHOLE = re.compile(r"-?[0-9]{1,9}")
 FIGURE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 MOST_BODY = 64 * 1024
+# what goes no further: the connection's own (RFC 9110, section 7.6.1), what this front reads or tells itself, and what
+# would ask for less than the whole answer
+HERE = frozenset("""
+    connection keep-alive proxy-authenticate proxy-authorization proxy-connection te trailer transfer-encoding upgrade
+    authorization content-length content-type expect host x-expires-in-ms x-io x-plan x-qos x-second-try x-trace-id
+    accept-encoding content-encoding if-match if-modified-since if-none-match if-range if-unmodified-since range
+    priority
+    """.split())
 
 
 class Malformed(ValueError):
@@ -77,6 +87,13 @@
     return Claim(token=token.strip() if scheme.lower() == "bearer" else "")
 
 
+def further(request: Exchange) -> CIMultiDict[str]:
+    """The headers that are for the chunk server, as they came: what makes a repeat known there is one of them."""
+    own = {name.strip().lower() for line in request.headers.getall("Connection", []) for name in line.split(",")}
+    return CIMultiDict((name, value) for name, value in request.headers.items()
+                       if (low := name.lower()) not in HERE and low not in own and value.isascii())
+
+
 def retry_after(pause: timedelta) -> str:
     return f"{pause.total_seconds():.3f}"
 
@@ -121,7 +138,8 @@
 
     async def _serve(self, request: Exchange, taken: Request, trace: str) -> Reply:
         body = await request.read()
-        message = Message(request.method, request.target, body, {"X-Trace-Id": trace})
+        message = Message(request.method, request.target, body, further(request))
+        message.headers["X-Trace-Id"] = trace
         if body:
             message.headers["Content-Type"] = request.headers.get("Content-Type", "application/octet-stream")
         match await serve(self._core.broker, self._core.client, taken, message):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -31,6 +31,29 @@
     play(story())
 
 
+def test_headers_for_the_chunk_server_go_on_with_each_attempt_and_the_fronts_own_do_not():
+    """A class whose repeats are known by a key lost its key: the bench calls that a request that no client sent."""
+    async def story():
+        async with World(1) as world:
+            world.nodes[0].script.extend(["full", "any"])
+            told = ask_headers("k1", 0) | {
+                "Idempotency-Key": "8c66b9e5", "X-Odd": "a, b", "Connection": "x-hop", "X-Hop": "1",
+                "Range": "bytes=0-1", "Authorization": "Bearer secret", "X-Latin": "caf\udce9", "Accept-Encoding": "gzip"}
+            reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            lines = "".join(f"{name}: {value}\r\n" for name, value in told.items())
+            writer.write(f"PUT /api/{VOLUME}/{KEY} HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n{lines}\r\n".encode(
+                errors="surrogateescape") + b"ok")
+            assert (await reader.readline()).startswith(b"HTTP/1.1 200 ")
+            assert len(world.nodes[0].seen) == 2
+            for _, _, headers, body in world.nodes[0].seen:
+                assert (body, headers["idempotency-key"], headers["x-odd"], headers["x-trace-id"]) == (
+                    b"ok", "8c66b9e5", "a, b", "k1")
+                assert set(headers) == {"idempotency-key", "x-odd", "x-trace-id", "x-expires-in-ms", "host",
+                                        "content-length", "content-type"}
+
+    play(story())
+
+
 @pytest.mark.parametrize(("acts", "status", "attempts"), [
     (["reset", "any"], 200, 2),  # may have run; the class is safe to repeat
     (["half", "any"], 200, 2),  # half a body is no answer
