--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -38,7 +38,8 @@
             world.nodes[0].script.extend(["full", "any"])
             told = ask_headers("k1", 0) | {
                 "Idempotency-Key": "8c66b9e5", "X-Odd": "a, b", "Connection": "x-hop", "X-Hop": "1",
-                "Range": "bytes=0-1", "Authorization": "Bearer secret", "X-Latin": "caf\udce9", "Accept-Encoding": "gzip"}
+                "Range": "bytes=0-1", "Authorization": "Bearer secret", "X-Latin": "caf\udce9",
+                "Accept-Encoding": "gzip"}
             reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
             lines = "".join(f"{name}: {value}\r\n" for name, value in told.items())
             writer.write(f"PUT /api/{VOLUME}/{KEY} HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n{lines}\r\n".encode(
