Count idle connections to chunk servers under their part of the descriptors

Cause: `TCPConnector(limit=...)` counts connections in use (`_available_connections`: limit less `_acquired`); those that rest in the pool count nothing. With more chunk servers than that part, or long idle times, resting ones fill the descriptors that `Listener` reckons with for clients: then neither side gets one, and chunk servers are blamed for it.

Seen: nine chunk servers asked in turn with a part of four: nine connections open.

Change: before a connection is made, `Pool` closes those that rested longest until all together are within the limit. Ruled out: a limit per host (it bounds neither sum). Test: counts open sockets at the chunk servers, and which one goes; fails on the code before.

--- a/ochrespan/net/chunks.py
+++ b/ochrespan/net/chunks.py
@@ -105,9 +105,23 @@
         await super().write_bytes(writer, conn, content_length)
 
 
+class Pool(aiohttp.TCPConnector):
+    """Its limit holds for idle connections too; aiohttp's counts those in use alone, and the others, one chunk server
+    after the other, took the descriptors that clients need."""
+
+    async def _create_connection(self, req, traces, timeout):  # type: ignore[no-untyped-def]
+        # those in use, with the one that is to be made, are under the limit already
+        while self._conns and len(self._acquired) + sum(map(len, self._conns.values())) > self._limit:
+            key, idle = min(self._conns.items(), key=lambda item: item[1][0][1])
+            idle.popleft()[0].close()
+            if not idle:
+                del self._conns[key]
+        return await super()._create_connection(req, traces, timeout)
+
+
 def open_session(links: Links, sockets: int) -> aiohttp.ClientSession:
     """A session that sends each request once, as it is, and hands back what comes as it is."""
-    connector = aiohttp.TCPConnector(
+    connector = Pool(
         limit=sockets,
         limit_per_host=0,
         keepalive_timeout=links.idle.total_seconds() * IDLE_PART,
--- a/tests/test_chunks.py
+++ b/tests/test_chunks.py
@@ -84,6 +84,30 @@
     play(story())
 
 
+def test_idle_connections_count_and_the_one_that_rested_longest_goes_first():
+    """With more chunk servers than descriptors for them, the idle ones took those of clients."""
+    async def story():
+        nodes, directory = [Node(i) for i in range(9)], Directory()
+        for node in nodes:
+            node.always = "any"
+            await node.start()
+            directory.addresses[node.id] = node.address
+        request = Request("v", "r", "g", timedelta(seconds=5))
+        async with open_session(LINKS, 4) as session:
+            client = ChunkClient(session, directory)
+            for number in range(18):
+                attempt = Attempt(request, number, nodes[number % 9].id, timedelta(seconds=5))
+                assert (await client.send(attempt, Message("GET", "/x")))[0].status is Status.OK
+                await asyncio.sleep(0.02)  # what is closed has gone
+                there = sum(is_open(sock) for node in nodes for sock in node.socks)
+                assert there == min(4, number + 1)
+            again = Attempt(request, 18, nodes[5].id, timedelta(seconds=5))  # the oldest of the four
+            assert (await client.send(again, Message("GET", "/x")))[0].status is Status.OK
+        assert [node.connections for node in nodes] == [2] * 9
+
+    play(story())
+
+
 def test_an_attempt_taken_back_before_it_began_sends_nothing():
     async def story():
         async with open_session(LINKS, 10) as session:
--- a/tests/world.py
+++ b/tests/world.py
@@ -62,7 +62,7 @@
         self.out: dict[str, int] = {}  # attempts on open connections, by trace id
         self.held: dict[socket.socket, str] = {}
         self.copies = 0  # times that a second attempt came while one was out
-        self.connections = 0
+        self.connections, self.socks = 0, list[socket.socket]()
         self.released = asyncio.Event()
 
     async def start(self) -> None:
@@ -71,6 +71,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        self.socks.append(writer.get_extra_info("socket"))
         try:
             while await self._one(reader, writer):
                 pass
