Begin repeats of keyed requests within their window, or not at all

Cause: guard 2 of the module sees that a repeat of a keyed request is decided within the class's window, counted from the first attempt that may have run. On the wire its connection may come up long after: `Progress.begin` looked at the list and at the attempt, but not at that time, so the repeat reached the chunk server after its key had been forgotten.

By id with a probe: attempt 0 first byte at 16.399 s, timed out 17.281; attempt 1 decided 17.282, first byte 17.541; the window is 1.0 s. Ruled out: the group (each repeat went to the same cell), an Idempotency-Key shared by requests (none of 1,938), a hidden resend (one line for each attempt).

Change: `Send.begin_within` says how long an attempt may wait for its first byte; `Attempt.may_begin` is asked in the step of the first write, as the list is. Later it is withdrawn, never sent, and the module ends the request. Tests: the module tells the time (fails without), a connection that comes up late (raw socket; fails without).

--- a/ochrespan/broker.py
+++ b/ochrespan/broker.py
@@ -232,8 +232,8 @@
     def _handle(self, event: api.Event) -> None:
         for action in self._scheduler.handle(self._now(), [event]):
             match action:
-                case api.Send(request_id, node, timeout):
-                    self._sent(request_id, node, timeout)
+                case api.Send(request_id, node, timeout, begin_within):
+                    self._sent(request_id, node, timeout, begin_within)
                 case api.Refuse(request_id, pause):
                     self._ended(request_id, Refused(timedelta(seconds=pause) if pause > 0 else None))
                 case api.Fail(request_id):
@@ -261,9 +261,10 @@
             self._timer.cancel()
         self._timer = self._loop.call_later(max(0.0, delay), self.tick)
 
-    def _sent(self, request_id: str, node: str, timeout: float) -> None:
+    def _sent(self, request_id: str, node: str, timeout: float, begin_within: float) -> None:
         held = self._by_id[request_id]
-        held.out = Attempt(held.request, held.attempts, node, timedelta(seconds=timeout))
+        begin = timedelta(seconds=begin_within) if begin_within < timeout else None
+        held.out = Attempt(held.request, held.attempts, node, timedelta(seconds=timeout), begin)
         held.attempts += 1
         self.counts.attempts += 1
         self._step(held, held.out)
--- a/ochrespan/interface.py
+++ b/ochrespan/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -209,6 +210,7 @@
     request_id: str
     node: str
     timeout: float
+    begin_within: float = math.inf  # a connection may take its time: not to be begun later
 
 
 @dataclass(slots=True)
--- a/ochrespan/net/chunks.py
+++ b/ochrespan/net/chunks.py
@@ -49,7 +49,7 @@
     def begin(self) -> None:
         """To be called right before the first byte is written: a connection may have come up late."""
         if not self.allowed():
-            raise Withdrawn("the attempt or its chunk server was taken back before the first byte")
+            raise Withdrawn("too late, or the attempt or its chunk server was taken back, before the first byte")
         assert self.protocol is not None
         self.protocol.expect()  # type: ignore[attr-defined]
 
@@ -177,7 +177,7 @@
         """Makes the attempt: one message, at most one answer, never a second copy."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        progress = Progress(lambda: not attempt.revoked and self._directory.takes(attempt.node))
+        progress = Progress(lambda: attempt.may_begin and self._directory.takes(attempt.node))
         answer = None
         try:
             async with attempt.limited():
--- a/ochrespan/policy.py
+++ b/ochrespan/policy.py
@@ -283,11 +283,14 @@
 
     def _last(self, job: Job) -> bool:
         """Guards 2 and 6: no further attempt may leave."""
-        s, cls = self.set, job.cls
-        risky = job.ran and cls.effect is not Effect.SAFE and (
-            cls.effect is Effect.UNSAFE or self.now + s.step >= job.ran[2] + cls.window)
-        most = min(job.req.most_attempts or s.max_attempts, s.max_attempts)  # so many are paid for
-        return bool(risky) or job.attempts >= most or not self._extra_left()
+        most = min(job.req.most_attempts or inf, self.set.max_attempts)  # so many are paid for
+        return self.now >= self._begin_by(job) or job.attempts >= most or not self._extra_left()
+
+    def _begin_by(self, job: Job) -> float:
+        """Guard 2: a further attempt has to have begun by then."""
+        if job.ran is None or job.cls.effect is Effect.SAFE:
+            return inf
+        return -inf if job.cls.effect is Effect.UNSAFE else job.ran[2] + job.cls.window - self.set.step
 
     def _list(self, got: api.NodeList) -> None:
         if got.kind is ListKind.MOVED:
@@ -396,8 +399,8 @@
         return inf if self.now - self.bare.setdefault(shard, self.now) > self.patience else 0.0
 
     def _need(self, node: Node, job: Job) -> float:
-        best = node.best.get(job.req.cls) or self._pace(node)
-        return min(best * self._work(job.req), job.cls.aim / 2)  # one bad estimate must not starve a node
+        best = node.best.get(job.req.cls) or self._pace(node)  # one bad estimate must not starve a node:
+        return min(best * self._work(job.req), job.cls.aim / 2)
 
     def _work(self, req: api.Request) -> float:
         """In units: they are told rounded up, by half of one on average."""
@@ -431,9 +434,8 @@
                 nodes = self.random.sample(nodes, min(CHOICES, len(nodes)))
             self._promote(lane, sum(ceil(node.window) for node in nodes) or 1)
             for node in sorted(nodes, key=lambda n: (self._wait(n) + (n.out + 1) * self._pace(n), n.out)):
-                while node.out < (1 if node.fails > 1 else int(node.window)):
-                    if (job := self._pick(node)) is None:
-                        break
+                room = 1 if node.fails > 1 else int(node.window)
+                while node.out < room and (job := self._pick(node)):
                     self._send(job, node)
             if not (lane.waiting or lane.ready):
                 self.lanes.pop(shard, None)
@@ -539,4 +541,4 @@
         soon = LOST * (self._wait(node) + need) if self.lossy > LOSSY and node.best else inf
         # exception: what is past its aim would only hold up what is queued behind it
         within = max(self.set.step, min(job.aim_at - self.now, job.end_at - self.now, soon))
-        self.acts.append(api.Send(req.id, node.entry.id, within))
+        self.acts.append(api.Send(req.id, node.entry.id, within, self._begin_by(job) - self.now))
--- a/ochrespan/requests.py
+++ b/ochrespan/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -53,8 +54,15 @@
     number: int
     node: str
     timeout: timedelta
+    begin_within: timedelta | None = None  # from when it was decided; later it must not begin any more
     revoked: bool = False
     _limit: asyncio.Timeout | None = None
+    _decided: float = field(default_factory=time.monotonic)
+
+    @property
+    def may_begin(self) -> bool:
+        late = self.begin_within is not None and time.monotonic() - self._decided > self.begin_within.total_seconds()
+        return not (self.revoked or late)
 
     @asynccontextmanager
     async def limited(self) -> AsyncIterator[None]:
--- a/ochrespan/simhost.py
+++ b/ochrespan/simhost.py
@@ -104,7 +104,7 @@
 def line_of(action: api.Action) -> str:
     """An action as its line on the wire."""
     match action:
-        case api.Send(request_id, node, timeout):
+        case api.Send(request_id, node, timeout, _):  # begins in the very tick
             return f"ISSUE RequestId={request_id} Shelf={node} WithinNs={max(1, round(timeout * NS))}"
         case api.Refuse(request_id, pause):
             advice = f" PauseNs={round(pause * NS)}" if pause > 0 else ""
--- a/tests/test_chunks.py
+++ b/tests/test_chunks.py
@@ -344,6 +344,32 @@
     play(story())
 
 
+@pytest.mark.parametrize("body", [b"", b"some"])
+@pytest.mark.parametrize(("within", "wanted"), [(None, Status.OK), (8, Status.OK), (0.2, Status.MOOT)])
+def test_an_attempt_that_has_to_begin_by_a_time_does_not_begin_later(within, wanted, body):
+    """A repeat of a keyed request left in time; its connection came up after the time in which it is known as one."""
+    async def story():
+        raw = Raw(backlog=0)
+        async with open_session(Links(timedelta(seconds=8), timedelta(seconds=15)), 10) as session:
+            first = socket.socket()
+            first.connect(raw.listener.getsockname())
+            attempt = attempt_at()
+            attempt.begin_within = timedelta(seconds=within) if within else None
+            task = asyncio.create_task(ChunkClient(session, raw.directory).send(attempt, Message("PUT", "/x", body)))
+            await asyncio.sleep(0.3)
+            await raw.accept()
+            sock = await raw.accept()
+            if wanted is Status.OK:
+                assert b"PUT /x " in await asyncio.get_running_loop().sock_recv(sock, 4096)
+                sock.send(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n")
+            outcome, _ = await task
+            assert outcome.status is wanted
+            assert wanted is Status.OK or await raw.rest(sock) == b""
+            first.close()
+
+    play(story())
+
+
 @pytest.mark.parametrize(("head", "wanted"), [
     (b"503 X\r\nX-Never-Ran: 1", Status.FULL), (b"200 X", Status.CONNECT_FAILED), (b"500 X", Status.CONNECT_FAILED)])
 def test_an_answer_to_half_a_request_ends_it_and_its_other_half_never_leaves(head, wanted):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,5 +1,9 @@
 """Each rule, with a test that fails when its guard is taken out."""
 
+from math import inf
+
+import pytest
+
 from ochrespan import interface as api
 from ochrespan.interface import ListKind, NodeList, NodeState, Status
 
@@ -110,6 +114,17 @@
     assert isinstance(head.finals[name], api.Fail)
 
 
+def test_a_repeat_of_a_keyed_request_is_told_by_when_it_has_to_begin():
+    """It left in time; its connection came up late, and it began after its key had been forgotten."""
+    head = Head()
+    for cls, wanted in (("keyed-all", 1.0 - 0.002 - 0.3), ("read", inf)):
+        name = head.take(cls)
+        head.wait(0.3)
+        head.answer(name, Status.ERROR)
+        first, again = head.sent(name)
+        assert first.begin_within == inf and again.begin_within == pytest.approx(wanted, abs=0.001)
+
+
 def test_a_keyed_request_of_group_all_may_be_refused():
     head = Head()
     name = head.take("keyed-all")
