Hear the first list before a front is up, where lists are pushed

Cause: STANDING counts what the agent has as told from the first moment of a new process. A front went up with its known list, which may be old, and sent by it until its first call was answered: after a slow start, beyond the time of a drain.

Change: where news counts as told at once, the first call of a watch waits for nothing (`wait_ms=0`), and READY waits up to 1 s for its answer. Where lists are asked for, nothing changes. Without an answer the front goes up all the same. Tests: both kinds of lists, and a discovery that never answers; the first fails on the code before.

--- a/ochrespan/front.py
+++ b/ochrespan/front.py
@@ -33,6 +33,7 @@
 GRACE = timedelta(seconds=0.1)  # for what shuts down
 LOOK = timedelta(seconds=0.02)
 LAST = timedelta(seconds=0.1)  # for what arrived in the very last moment
+FIRST_LIST = timedelta(seconds=1)  # to hear it before the front is put to use, where it counts as told by then
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
 
 
@@ -128,7 +129,8 @@
         outgoing = told.sockets // 3  # clients may hold as many for requests, and bad ones come on top
         session = await stack.enter_async_context(open_session(told.links, outgoing))
         asking = await stack.enter_async_context(discovery.open_session())
-        watch = Watch(broker, directory, asking, told.discovery)
+        at_once = told.settings.ask_within == 0  # what could be heard counts as told; the known list may be old
+        watch = Watch(broker, directory, asking, told.discovery, timedelta() if at_once else discovery.FIRST_WAIT)
         watch.known(told.known)
         core = Core(told, broker, ChunkClient(session, directory), lifecycle)
         core.handlers["platform"] = PlatformFront(core).handle
@@ -146,6 +148,8 @@
             stack.push_async_callback(listeners[-1].shutdown, GRACE)
         jobs = [watch.run(), *(job for one in running.values() for job in one.jobs)]
         tasks = [asyncio.create_task(job) for job in jobs]
+        if at_once:
+            await watch.heard(FIRST_LIST)
         lifecycle.advance(Phase.READY)
         await lifecycle.reached(Phase.DRAINING)
         await drain(told, broker, listeners, lifecycle)
--- a/ochrespan/net/discovery.py
+++ b/ochrespan/net/discovery.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import math
+from contextlib import suppress
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
@@ -146,13 +147,16 @@
     """Calls discovery when the broker asks, and goes on calling for as long as the calls succeed."""
 
     def __init__(
-        self, broker: Broker, directory: Directory, session: aiohttp.ClientSession, address: str
+        self, broker: Broker, directory: Directory, session: aiohttp.ClientSession, address: str,
+        first_wait: timedelta = FIRST_WAIT,
     ) -> None:
+        self._first_wait = first_wait
         self._broker, self._directory, self._session = broker, directory, session
         self._address = self._next = address
         self._wanted = asyncio.Event()
         self._limit: asyncio.Timeout | None = None  # round the calls that are under way
         self._moved = False
+        self._heard = asyncio.Event()
         self._failures = Repeats()
         broker.on_list_wanted(self._ask)
 
@@ -178,6 +182,12 @@
             self._moved = True
             self._limit.reschedule(asyncio.get_running_loop().time())
 
+    async def heard(self, span: timedelta) -> None:
+        """Waits for the first list, for so long."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(span.total_seconds()):
+                await self._heard.wait()
+
     async def run(self) -> None:
         while True:
             await self._wanted.wait()
@@ -203,8 +213,9 @@
         first, loop = True, asyncio.get_running_loop()
         while True:
             began = loop.time()
-            kind, nodes = self._directory.apply(await self._call(FIRST_WAIT if first else WAIT))
+            kind, nodes = self._directory.apply(await self._call(self._first_wait if first else WAIT))
             self._failures.over("in a row")
+            self._heard.set()
             if first or nodes or kind is ListKind.FULL:
                 self._broker.listing(kind, nodes)
             first = False
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,7 +11,7 @@
 from ochrespan.net.discovery import MOST_ODD, BadList, Directory, Watch, open_session
 from ochrespan.requests import ListKind, NodeState
 
-from .world import until
+from .world import World, until
 
 GOOD = {"id": "n1", "host_port": "127.0.0.1:9", "locality": "a", "cell": 3, "phase": "up", "size": 1.0,
         "up_since_ms": 0}
@@ -174,3 +174,36 @@
     assert any(getattr(line, "place", "") == "revision" and line.found == 5 for line in caplog.records)
     directory.apply(listing(GOOD, revision=6))
     assert directory.revision == 6 and set(directory.addresses) == {"n1"}
+
+
+class Late(World):
+    """Its first list comes late, and says that a chunk server drains that the known list has as up."""
+
+    async def _discovery(self, request):
+        if not self.revision:
+            await asyncio.sleep(0.6)
+            self.tell(self.nodes[0], "draining")
+        return await super()._discovery(request)
+
+
+@pytest.mark.parametrize(("discovery", "up"), [("pushed", "a list"), ("on_request", "none")])
+def test_a_front_is_up_once_it_has_the_list_where_that_counts_as_told_from_its_start(discovery, up):
+    async def story():
+        async with Late(2, Discovery=discovery) as world:
+            assert bool(world.calls) is (up == "a list")
+            world.nodes[0].always = "any"
+            if up == "a list":
+                assert (await world.ask("t1", cls="brief", left="900"))[0] == 503 and not world.nodes[0].seen
+
+    asyncio.run(story())
+
+
+def test_a_front_that_hears_nothing_goes_up_all_the_same():
+    async def story():
+        world = World(1, Discovery="pushed")
+        world.failing = 999
+        async with world:
+            world.nodes[0].always = "any"
+            assert (await world.ask("t1"))[0] == 200
+
+    asyncio.run(story())
