Test moves of discovery in narrow moments: silence, retries, there and back, crossing news

The issue's open suspects of the watch, on raw calls that the test answers when it says so: SIGHUP while the old watch is silent, in a retry's wait, three times in a row, and with news of the old address in the moment of the move.

--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -5,7 +5,7 @@
 import pytest
 from aiohttp import web
 
-from .world import World, play, until
+from .world import World, free_port, play, until
 
 
 def test_a_reload_moves_the_watch_and_keeps_requests_and_connections():
@@ -61,3 +61,66 @@
             assert await asyncio.wait_for(world.process.wait(), 20) == 0
 
     play(story())
+
+
+class Services:
+    """Two discoveries that hold each call until the test answers it."""
+
+    def __init__(self, world: World) -> None:
+        self.world, self.calls = world, {"old": [], "new": []}
+
+    def handler(self, name: str):
+        async def handle(request: web.BaseRequest) -> web.Response:
+            answer = asyncio.get_running_loop().create_future()
+            self.calls[name].append((request.query.get("after"), answer))
+            return web.json_response(await answer)
+        return handle
+
+    def tell(self, name: str, revision: int, *phases: str, complete: bool = True) -> None:
+        entries = [self.world.entry(node) | {"phase": phase}
+                   for node, phase in zip(self.world.nodes, phases, strict=False)]
+        self.calls[name][-1][1].set_result({"revision": revision, "complete": complete, "members": entries})
+
+    async def asked(self, name: str, number: int) -> None:
+        await until(lambda: len(self.calls[name]) >= number)
+
+
+@pytest.mark.parametrize("moment", ["silent", "between retries", "twice", "crossing"])
+def test_a_move_of_discovery_in_a_narrow_moment_ends_with_one_watch_at_the_new_address(moment):
+    async def story():
+        async with World(2) as world:
+            both = Services(world)
+            old, new = [await world.open_discovery(both.handler(name)) for name in ("old", "new")]
+            nowhere = f"127.0.0.1:{free_port()}"
+            if moment == "between retries":
+                world.reload(discovery=nowhere)  # each call fails at once, and the next waits by lot
+                await until(lambda: "in_a_row=2" in world.log)
+            else:
+                world.reload(discovery=old)
+                await both.asked("old", 1)
+                both.tell("old", 7, "up", "up")
+                await both.asked("old", 2)  # and that is not answered: it is silent
+            if moment == "twice":  # there and back, and there again, before any of it can be carried out
+                for where in (new, old, new):
+                    world.reload(discovery=where)
+                    await until(lambda: f"discovery={where}" in world.log.rsplit("read anew", 1)[-1])  # noqa: B023
+            else:
+                world.reload(discovery=new)
+            if moment == "crossing":  # the old one answers in the moment of the move
+                both.tell("old", 8, "draining", complete=False)
+            await both.asked("new", 1)
+            assert both.calls["new"][0][0] is None  # what the old one counted means nothing here
+            both.tell("new", 3, "up", "draining")
+            await both.asked("new", 2)
+            assert both.calls["new"][1][0] == "3"
+            assert len(both.calls["old"]) <= 3
+            for node in world.nodes:
+                node.always = "any"
+            assert (await world.ask("t1"))[0] == 200  # as the new list says, whatever crossed it
+            assert (await world.ask("t2", shard=1, cls="brief", left="900"))[0] == 503
+            asked = len(both.calls["old"])
+            await asyncio.sleep(0.5)
+            assert len(both.calls["old"]) == asked and len(both.calls["new"]) == 2
+            assert "Traceback" not in world.log
+
+    play(story())
