Begin to end at once, also while the first list is awaited

Seen: a discovery that never answers, deadlines of 0.42 s: 1.8 s from "draining" to "stopped", where the plan says 0.9. Change: the wait is a task of its own; `Lifecycle` moves forward only, so that its READY says nothing after DRAINING. Test: that order on a real process; fails on the code before. Only pushed lists are concerned.

--- a/ochrespan/front.py
+++ b/ochrespan/front.py
@@ -148,9 +148,12 @@
             stack.push_async_callback(listeners[-1].shutdown, GRACE)
         jobs = [watch.run(), *(job for one in running.values() for job in one.jobs)]
         tasks = [asyncio.create_task(job) for job in jobs]
-        if at_once:
-            await watch.heard(FIRST_LIST)
-        lifecycle.advance(Phase.READY)
+        async def ready() -> None:
+            if at_once:
+                await watch.heard(FIRST_LIST)
+            lifecycle.advance(Phase.READY)  # says nothing where the end has begun meanwhile
+
+        tasks.append(asyncio.create_task(ready()))
         await lifecycle.reached(Phase.DRAINING)
         await drain(told, broker, listeners, lifecycle)
         for task in tasks:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,7 +11,7 @@
 from ochrespan.net.discovery import MOST_ODD, BadList, Directory, Watch, open_session
 from ochrespan.requests import ListKind, NodeState
 
-from .world import World, until
+from .world import MS, World, until
 
 GOOD = {"id": "n1", "host_port": "127.0.0.1:9", "locality": "a", "cell": 3, "phase": "up", "size": 1.0,
         "up_since_ms": 0}
@@ -207,3 +207,26 @@
             assert (await world.ask("t1"))[0] == 200
 
     asyncio.run(story())
+
+
+class Ending(World):
+    """Told to end while it waits for its first list, which never comes."""
+
+    async def _discovery(self, request):
+        self.stop()
+        await asyncio.sleep(60)
+
+
+def test_a_front_that_is_told_to_end_before_it_is_up_begins_to_end_at_once():
+    async def story():
+        short = [{"Name": "read", "ObjectiveNs": 410 * MS, "DeadlineNs": 420 * MS, "Effect": "free", "Group": "all"}]
+        world = Ending(1, Discovery="pushed", Classes=short)
+        with pytest.raises(AssertionError, match="did not come up"):
+            await world.__aenter__()
+        await world.__aexit__()
+        assert world.process.returncode == 0
+        began, ended = (float(line.split()[0].split(":")[-1].rstrip("Z")) for phase in ("draining", "stopped")
+                        for line in world.log.splitlines() if f"now={phase}" in line)
+        assert (ended - began) % 60 < 1.5  # 0.9 by the settings; it waited for the list first, which made 1.8
+
+    asyncio.run(story())
