Let two runs of the tests on one machine wait for each other's example

Cause: the example's addresses are fixed (8500, 9000, 9400), as a newcomer meets them. Of six runs of the suite at once, five failed in test_the_example_serves_an_object and in nothing else so far.

--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -1,9 +1,11 @@
 """The example folder, as a newcomer would start it."""
 
+import fcntl
 import os
 import signal
 import subprocess
 import sys
+import tempfile
 import time
 import urllib.error
 import urllib.request
@@ -36,7 +38,15 @@
         return error.code, error.read()
 
 
-def test_the_example_serves_an_object():
+@pytest.fixture
+def alone():
+    """The example's addresses are fixed: a second run of the tests on the machine waits for its turn."""
+    with Path(tempfile.gettempdir(), "ochrespan-example.lock").open("w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        yield
+
+
+def test_the_example_serves_an_object(alone):
     env = {k: v for k, v in os.environ.items() if not k.startswith("BALANCER_")}
     toy = subprocess.Popen([sys.executable, "examples/toy.py"], cwd=ROOT, stdout=subprocess.DEVNULL)
     front = None
