--- /dev/null
+++ b/ochrespan/control_plane/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration, instances, the operator's API and the change feed."""
--- /dev/null
+++ b/ochrespan/data_plane/__init__.py
@@ -0,0 +1,1 @@
+"""Routing, admission, placement and the relay of requests and streams."""
--- /dev/null
+++ b/ochrespan/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet's programs: settings, wiring and signals."""
--- /dev/null
+++ b/ochrespan/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable state in two snapshot slots and a short log, over a small file interface."""
--- /dev/null
+++ b/ochrespan/transport/rpc.py
@@ -0,0 +1,155 @@
+"""Calls and pushed messages over one framed connection.
+
+A call carries a number that its reply repeats; what comes without a number is a pushed message. Calls have no order
+among each other. A call whose connection ends gets no reply: whether it was carried out is not known.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+from gevent.event import AsyncResult
+
+from .codec import MessageError, decode, encode, message
+from .tcp import Address, Connection, ConnectionClosed, Listener, dial
+
+log = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+@message("call")
+@dataclass(slots=True)
+class Call:
+    number: int
+    body: bytes  # an encoded message
+
+
+@message("reply")
+@dataclass(slots=True)
+class Reply:
+    number: int
+    body: bytes  # an encoded message; empty where the call failed
+    error: str = ""
+
+
+class CallFailed(Exception):
+    """No reply: the connection ended, the time ran out, or the peer could not carry the call out."""
+
+
+class Caller:
+    """Keeps one connection to a peer, opened when it is first needed and again after it has ended."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self._connection: Connection | None = None
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, AsyncResult] = {}
+        self._dialling: AsyncResult | None = None
+
+    def call(self, request: Any, timeout: float) -> Any:
+        """The reply's message; raises CallFailed after at most `timeout` seconds."""
+        try:
+            with gevent.Timeout(timeout, TimeoutError):
+                return self._call(request)
+        except (TimeoutError, OSError, ConnectionClosed, MessageError) as error:
+            raise CallFailed(f"{self.address[0]}:{self.address[1]}: {error or 'no reply in time'}") from error
+
+    def close(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+
+    def _call(self, request: Any) -> Any:
+        connection = self._connected()
+        number, result = next(self._numbers), AsyncResult()
+        self._waiting[number] = result
+        try:
+            connection.send(Call(number, encode(request)))
+            reply = result.get()
+        finally:
+            self._waiting.pop(number, None)
+        if reply.error:
+            raise CallFailed(reply.error)
+        return decode(reply.body)
+
+    def _connected(self) -> Connection:
+        while self._connection is None or self._connection.closed:
+            if self._dialling is not None:
+                self._dialling.wait()
+                continue
+            self._dialling = AsyncResult()
+            try:
+                self._connection = dial(self.address, CONNECT_TIMEOUT_S)
+                gevent.spawn(self._read, self._connection)
+            finally:
+                dialling, self._dialling = self._dialling, None
+                dialling.set()
+        return self._connection
+
+    def _read(self, connection: Connection) -> None:
+        try:
+            while True:
+                reply = connection.receive()
+                if isinstance(reply, Reply) and (result := self._waiting.get(reply.number)):
+                    result.set(reply)
+        except (ConnectionClosed, MessageError) as error:
+            connection.close()
+            waiting, self._waiting = self._waiting, {}
+            for result in waiting.values():
+                result.set_exception(ConnectionClosed(str(error)))
+
+
+class CallServer:
+    """Answers calls by the type of their message; other messages go to the handler of their type as pushes."""
+
+    def __init__(self, address: Address) -> None:
+        self._listener = Listener(address, self._serve)
+        self._call_handlers: dict[type, Callable[[Any], Any]] = {}
+        self._push_handlers: dict[type, Callable[[Connection, Any], None]] = {}
+
+    @property
+    def address(self) -> Address:
+        return self._listener.address
+
+    def on_call(self, request_type: type, handler: Callable[[Any], Any]) -> None:
+        """`handler(request)` runs in a greenlet of its own and returns the reply's message."""
+        self._call_handlers[request_type] = handler
+
+    def on_push(self, message_type: type, handler: Callable[[Connection, Any], None]) -> None:
+        """`handler(connection, message)` runs in the connection's greenlet, in the order of arrival."""
+        self._push_handlers[message_type] = handler
+
+    def start(self) -> None:
+        self._listener.start()
+
+    def stop(self) -> None:
+        self._listener.stop()
+
+    def _serve(self, connection: Connection) -> None:
+        while True:
+            received = connection.receive()
+            if isinstance(received, Call):
+                gevent.spawn(self._answer, connection, received)
+            elif handler := self._push_handlers.get(type(received)):
+                handler(connection, received)
+            else:
+                log.warning("unexpected message type=%s", type(received).__name__)
+
+    def _answer(self, connection: Connection, call: Call) -> None:
+        try:
+            request = decode(call.body)
+            handler = self._call_handlers.get(type(request))
+            if handler is None:
+                raise MessageError("call", type(request).__name__, "a call that this process answers")
+            reply = Reply(call.number, encode(handler(request)))
+        except Exception as error:
+            log.warning("call failed error=%r", error)
+            reply = Reply(call.number, b"", repr(error))
+        with contextlib.suppress(ConnectionClosed):
+            connection.send(reply)
--- /dev/null
+++ b/ochrespan/transport/tcp.py
@@ -0,0 +1,172 @@
+"""Connections that carry typed messages in frames: four bytes of length, big endian, then the encoded message."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import struct
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from .codec import MessageError, decode, encode
+
+Address = tuple[str, int]
+
+log = logging.getLogger(__name__)
+
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+MAX_QUEUED_BYTES = 16 * 1024 * 1024  # a peer that reads more slowly than this is cut off
+USER_TIMEOUT_MS = 2500  # unacknowledged data ends a connection after this long
+KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_PROBES = 1, 1, 2
+RECEIVE_BYTES = 64 * 1024
+
+_length = struct.Struct(">I")
+
+
+class ConnectionClosed(Exception):
+    """The connection has ended, or its peer could not keep up."""
+
+
+def parse_address(text: str) -> Address:
+    """`10.0.0.1:8000` as a pair of host and port; raises ValueError."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"found {text!r}, allowed IP:PORT")
+    return host, int(port)
+
+
+def format_address(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
+
+
+def set_options(sock: socket.socket) -> None:
+    """Small messages leave at once, and a silent peer is noticed within seconds."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+class Connection:
+    """One framed connection. `send` never waits; `receive` waits for the next message."""
+
+    def __init__(self, sock: socket.socket, peer: Address) -> None:
+        self.peer = peer
+        self._socket = sock
+        self._received = bytearray()
+        self._outgoing: deque[bytes] = deque()
+        self._queued_bytes = 0
+        self._wake = Event()
+        self._closed = False
+        set_options(sock)
+        self._writer = gevent.spawn(self._write)
+
+    @property
+    def closed(self) -> bool:
+        return self._closed
+
+    def send(self, value: Any) -> None:
+        """Queues a message; raises ConnectionClosed."""
+        self.send_encoded(encode(value))
+
+    def send_encoded(self, data: bytes) -> None:
+        """Queues a message that `codec.encode` has made, which may go to many connections."""
+        if self._closed:
+            raise ConnectionClosed(format_address(self.peer))
+        if self._queued_bytes > MAX_QUEUED_BYTES:
+            self.close()
+            raise ConnectionClosed(f"{format_address(self.peer)} reads too slowly")
+        self._outgoing.append(_length.pack(len(data)) + data)
+        self._queued_bytes += len(data)
+        self._wake.set()
+
+    def receive(self, timeout: float | None = None) -> Any:
+        """The next message. Raises ConnectionClosed, MessageError, or TimeoutError after `timeout` seconds."""
+        with gevent.Timeout(timeout, TimeoutError):
+            header = self._read_exactly(_length.size)
+            size = _length.unpack(header)[0]
+            if size > MAX_FRAME_BYTES:
+                self.close()
+                raise MessageError("frame length", str(size), f"at most {MAX_FRAME_BYTES}")
+            return decode(self._read_exactly(size))
+
+    def close(self) -> None:
+        if not self._closed:
+            self._closed = True
+            self._wake.set()
+            with contextlib.suppress(OSError):
+                self._socket.shutdown(socket.SHUT_RDWR)
+            self._socket.close()
+
+    def _read_exactly(self, size: int) -> bytes:
+        while len(self._received) < size:
+            try:
+                data = self._socket.recv(RECEIVE_BYTES)
+            except OSError as error:
+                self.close()
+                raise ConnectionClosed(f"{format_address(self.peer)}: {error}") from error
+            if not data:
+                self.close()
+                raise ConnectionClosed(format_address(self.peer))
+            self._received += data
+        data = bytes(self._received[:size])
+        del self._received[:size]
+        return data
+
+    def _write(self) -> None:
+        while not self._closed:
+            self._wake.wait()
+            self._wake.clear()
+            data = b"".join(self._outgoing)
+            self._outgoing.clear()
+            self._queued_bytes = 0
+            if not data:
+                continue
+            try:
+                self._socket.sendall(data)
+            except OSError:
+                self.close()
+
+
+def dial(address: Address, timeout: float) -> Connection:
+    """Opens a connection; raises OSError, TimeoutError among them."""
+    sock = socket.create_connection(address, timeout=timeout)
+    sock.settimeout(None)
+    return Connection(sock, address)
+
+
+class Listener:
+    """Accepts connections and runs `handle(connection)` in a greenlet for each."""
+
+    def __init__(self, address: Address, handle: Callable[[Connection], None]) -> None:
+        self._handle = handle
+        self._server = StreamServer(address, self._accepted, backlog=256)
+
+    @property
+    def address(self) -> Address:
+        return self._server.address
+
+    def start(self) -> None:
+        self._server.start()
+
+    def stop(self) -> None:
+        self._server.stop()
+
+    def _accepted(self, sock: socket.socket, peer: Address) -> None:
+        connection = Connection(sock, peer)
+        try:
+            self._handle(connection)
+        except ConnectionClosed:
+            pass
+        except MessageError as error:
+            log.warning("bad message peer=%s error=%s", format_address(peer), error)
+        finally:
+            connection.close()
