--- /dev/null
+++ b/ochrespan/control_plane/answers.py
@@ -0,0 +1,58 @@
+"""Answers of the control interface: a status and a JSON body, made where the decision falls and passed on unchanged."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from ..transport.codec import message
+from . import compact
+from .checking import Finding
+
+RETRY_AFTER_S = 0.2
+
+OK = 200
+BAD_REQUEST = 400
+NOT_FOUND = 404
+METHOD_NOT_ALLOWED = 405
+PRECONDITION_FAILED = 412
+CONTENT_TOO_LARGE = 413
+UNAVAILABLE = 503
+
+
+@message("cp.answer")
+@dataclass(slots=True)
+class Answer:
+    """A final answer to a call of the control interface; the body is packed by `compact`."""
+
+    status: int
+    packed_body: bytes
+
+    @property
+    def body(self) -> bytes:
+        """The JSON text."""
+        return compact.decompress(self.packed_body)
+
+
+@message("cp.elsewhere")
+@dataclass(slots=True)
+class NotTheLeader:
+    """This process does not lead the shard, and the call has left no trace."""
+
+
+def json_answer(status: int, document: Any) -> Answer:
+    """An answer with a JSON body."""
+    return Answer(status, compact.compress(json.dumps(document, ensure_ascii=False).encode()))
+
+
+def refusal(status: int, findings: Iterable[Finding]) -> Answer:
+    """An answer that names the findings."""
+    listed = [{"where": each.where, "found": each.found, "allowed": each.allowed} for each in findings]
+    return json_answer(status, {"findings": listed})
+
+
+def unavailable(where: str, found: str) -> Answer:
+    """No verdict: the caller asks again, here or elsewhere."""
+    return refusal(UNAVAILABLE, [Finding(where, found, "a replica group that can decide")])
--- /dev/null
+++ b/ochrespan/control_plane/api.py
@@ -0,0 +1,147 @@
+"""The control interface over HTTP: for the operator, for servers, and for the command line."""
+
+from __future__ import annotations
+
+import json
+import logging
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any
+
+from gevent.pywsgi import WSGIServer
+
+from ..transport.tcp import Address
+from .answers import (
+    BAD_REQUEST,
+    CONTENT_TOO_LARGE,
+    METHOD_NOT_ALLOWED,
+    NOT_FOUND,
+    OK,
+    RETRY_AFTER_S,
+    UNAVAILABLE,
+    Answer,
+    json_answer,
+    refusal,
+)
+from .checking import CheckFailed, Finding
+from .control_service import ControlService
+from .documents import CHECK_CONFIGURATION, CHECK_INSTANCE, CHECK_PATCH, MAX_ID_CHARACTERS, read_json
+from .instances import record_of
+from .orders import OrderKind, make_order
+
+log = logging.getLogger(__name__)
+
+MAX_BODY_BYTES = 32 * 1024 * 1024
+INSTANCES_PATH = "/api/instances/"
+
+Environment = dict[str, Any]
+Handler = Callable[[Environment], Answer]
+
+
+class BodyTooLarge(Exception):
+    """A request's body exceeds MAX_BODY_BYTES."""
+
+
+class ControlApi:
+    """The WSGI application. `status` gives the document of `GET /api/status`, `ready` tells whether to answer 200."""
+
+    def __init__(
+        self, service: ControlService, status: Callable[[], dict[str, Any]], ready: Callable[[], bool]
+    ) -> None:
+        self._service = service
+        self._status = status
+        self._ready = ready
+        self._routes: dict[str, dict[str, Handler]] = {
+            "/api/config": {"GET": self._get_config, "PUT": self._put_config, "PATCH": self._patch_config},
+            "/api/readyz": {"GET": self._get_ready},
+            "/api/status": {"GET": self._get_status},
+        }
+        self._instance_methods: dict[str, Handler] = {"PUT": self._put_instance, "DELETE": self._delete_instance}
+
+    def __call__(self, environment: Environment, start_response: Callable[..., Any]) -> Iterable[bytes]:
+        answer = self._answer(environment)
+        body = answer.body
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+        if answer.status == UNAVAILABLE:
+            headers.append(("Retry-After", f"{RETRY_AFTER_S:g}"))
+        start_response(f"{answer.status} {HTTPStatus(answer.status).phrase}", headers)
+        return [body]
+
+    def _answer(self, environment: Environment) -> Answer:
+        path, method = environment["PATH_INFO"], environment["REQUEST_METHOD"]
+        methods = self._instance_methods if path.startswith(INSTANCES_PATH) else self._routes.get(path)
+        if methods is None:
+            return refusal(NOT_FOUND, [Finding("path", path, ", ".join((*self._routes, INSTANCES_PATH + "ID")))])
+        handler = methods.get(method)
+        if handler is None:
+            return refusal(METHOD_NOT_ALLOWED, [Finding("method", method, ", ".join(methods))])
+        try:
+            return handler(environment)
+        except CheckFailed as error:
+            return refusal(BAD_REQUEST, error.findings)
+        except BodyTooLarge:
+            allowed = f"at most {MAX_BODY_BYTES} bytes"
+            return refusal(CONTENT_TOO_LARGE, [Finding("body", "a longer body", allowed)])
+
+    def _get_config(self, environment: Environment) -> Answer:
+        return self._service.read_configuration()
+
+    def _put_config(self, environment: Environment) -> Answer:
+        version, body = _read_version(environment), _read_body(environment)
+        return self._service.order(make_order(OrderKind.WHOLE, version, read_json(body, CHECK_CONFIGURATION)))
+
+    def _patch_config(self, environment: Environment) -> Answer:
+        version, body = _read_version(environment), _read_body(environment)
+        return self._service.order(make_order(OrderKind.PATCH, version, read_json(body, CHECK_PATCH)))
+
+    def _put_instance(self, environment: Environment) -> Answer:
+        instance_id = _read_instance_id(environment)
+        return self._service.report(record_of(instance_id, read_json(_read_body(environment), CHECK_INSTANCE)))
+
+    def _delete_instance(self, environment: Environment) -> Answer:
+        return self._service.ended(_read_instance_id(environment))
+
+    def _get_ready(self, environment: Environment) -> Answer:
+        return json_answer(OK if self._ready() else UNAVAILABLE, {})
+
+    def _get_status(self, environment: Environment) -> Answer:
+        return json_answer(OK, self._status())
+
+
+def serve_api(address: Address, application: ControlApi) -> WSGIServer:
+    """A server that is started and answers on `address`."""
+    server = WSGIServer(address, application, log=None, error_log=log)
+    server.start()
+    return server
+
+
+def _read_version(environment: Environment) -> int:
+    given = environment.get("HTTP_IF_MATCH", "")
+    bare = given.strip().removeprefix("W/").strip('"')
+    if not bare.isascii() or not bare.isdigit():
+        raise CheckFailed([Finding("If-Match", json.dumps(given), "the version that the change builds on")])
+    return int(bare)
+
+
+def _read_body(environment: Environment) -> bytes:
+    declared = environment.get("CONTENT_LENGTH") or ""
+    if declared.isdigit() and int(declared) > MAX_BODY_BYTES:
+        raise BodyTooLarge
+    try:
+        body = environment["wsgi.input"].read(MAX_BODY_BYTES + 1)
+    except OSError as error:
+        raise CheckFailed([Finding("body", str(error), "the whole body")]) from error
+    if len(body) > MAX_BODY_BYTES:
+        raise BodyTooLarge
+    if declared.isdigit() and len(body) < int(declared):
+        raise CheckFailed([Finding("body", f"{len(body)} bytes", f"{declared} bytes, as announced")])
+    return body
+
+
+def _read_instance_id(environment: Environment) -> str:
+    path = environment["PATH_INFO"].encode("latin-1").decode("utf-8", "replace")  # WSGI gives bytes as Latin-1
+    instance_id = path.removeprefix(INSTANCES_PATH)
+    if not 0 < len(instance_id) <= MAX_ID_CHARACTERS or "/" in instance_id or not instance_id.isprintable():
+        allowed = f"1 to {MAX_ID_CHARACTERS} printable characters without a slash"
+        raise CheckFailed([Finding("path", json.dumps(instance_id), allowed)])
+    return instance_id
--- /dev/null
+++ b/ochrespan/control_plane/control_service.py
@@ -0,0 +1,136 @@
+"""Carries a call of the control interface to the leader of its shard, here or at another controller.
+
+Every call may be repeated: an order is known by its digest and a report by its sequence number. So a call whose way to
+the leader broke is sent again until its time is up, and only then answered without a verdict.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+from time import monotonic
+from typing import Any
+
+import gevent
+
+from ..coordination.shards import CONFIG_SHARD, shard_of
+from ..transport.rpc import Caller, CallFailed, CallServer
+from ..transport.tcp import Address
+from .answers import OK, Answer, NotTheLeader, json_answer, unavailable
+from .instances import InstanceMachine, InstanceRecord, record_fields
+from .orders import Order
+from .owners import (
+    CALL_TIMEOUT_S,
+    ConfigurationOwner,
+    InstanceEnded,
+    InstanceOwner,
+    InstanceReport,
+    ReadConfiguration,
+    ReplicaGroups,
+    order_timeout,
+)
+from .replica_host import NotLeader
+
+log = logging.getLogger(__name__)
+
+RETRY_PAUSE_S = 0.03
+
+
+class Peers:
+    """One connection to each other controller, opened when it is first needed."""
+
+    def __init__(self) -> None:
+        self._callers: dict[Address, Caller] = {}
+
+    def call(self, address: Address, request: Any, timeout: float) -> Any:
+        """The reply of the process at `address`; raises CallFailed."""
+        if address not in self._callers:
+            self._callers[address] = Caller(address)
+        return self._callers[address].call(request, timeout)
+
+    def keep_only(self, addresses: Iterable[Address]) -> None:
+        """Closes the connections to processes that are gone."""
+        for address in set(self._callers) - set(addresses):
+            self._callers.pop(address).close()
+
+
+class ControlService:
+    """The calls of servers and of the operator, as typed requests."""
+
+    def __init__(
+        self,
+        groups: ReplicaGroups,
+        configuration_owner: ConfigurationOwner,
+        instance_owner: InstanceOwner,
+        instance_machines: dict[int, InstanceMachine],
+        peers: Peers,
+    ) -> None:
+        self._groups = groups
+        self._machines = instance_machines
+        self._peers = peers
+        self._handlers: dict[type, Callable[[Any], Answer]] = {
+            Order: configuration_owner.order,
+            ReadConfiguration: configuration_owner.read,
+            InstanceReport: instance_owner.report,
+            InstanceEnded: instance_owner.ended,
+        }
+
+    def register(self, call_server: CallServer) -> None:
+        """Answers the calls that other controllers pass on."""
+        for request_type in self._handlers:
+            call_server.on_call(request_type, self._answer_passed_on)
+
+    def order(self, order: Order) -> Answer:
+        """Takes an order of the operator."""
+        return self._at_leader(CONFIG_SHARD, order, order_timeout(order))
+
+    def read_configuration(self) -> Answer:
+        """The newest configuration."""
+        return self._at_leader(CONFIG_SHARD, ReadConfiguration(), CALL_TIMEOUT_S)
+
+    def report(self, record: InstanceRecord) -> Answer:
+        """Takes a server's report of itself."""
+        shard = shard_of(record.backend)
+        return self._at_leader(shard, InstanceReport(shard, record_fields(record)), CALL_TIMEOUT_S)
+
+    def ended(self, instance_id: str) -> Answer:
+        """Takes a server's word that it has ended; where no shard knows it here, every shard is asked."""
+        known = [shard for shard, machine in self._machines.items() if instance_id in machine.records]
+        calls = [
+            gevent.spawn(self._at_leader, shard, InstanceEnded(shard, instance_id), CALL_TIMEOUT_S)
+            for shard in known or self._machines
+        ]
+        answers = [call.get() for call in calls]
+        refused = [answer for answer in answers if answer.status != OK]
+        return refused[0] if refused else json_answer(OK, {})
+
+    def _answer_passed_on(self, request: Any) -> Any:
+        try:
+            return self._handlers[type(request)](request)
+        except NotLeader:
+            return NotTheLeader()
+
+    def _at_leader(self, shard: int, request: Any, timeout: float) -> Answer:
+        deadline = monotonic() + timeout
+        while (remaining := deadline - monotonic()) > 0:
+            answer = self._try_leader(shard, request, remaining)
+            if answer is not None:
+                return answer
+            gevent.sleep(RETRY_PAUSE_S)
+        return unavailable(f"shard {shard}", "no leader that answered in time")
+
+    def _try_leader(self, shard: int, request: Any, timeout: float) -> Answer | None:
+        """An answer, or None where there was no leader to give one."""
+        try:
+            if self._groups.is_leader(shard):
+                return self._handlers[type(request)](request)
+            leader = self._groups.leader(shard)
+            if leader is None:
+                return None
+            reply = self._peers.call(leader, request, timeout)
+        except NotLeader:
+            return None
+        except CallFailed as error:
+            log.info("call not passed on shard=%d error=%r", shard, str(error))
+            return None
+        return reply if isinstance(reply, Answer) else None
--- /dev/null
+++ b/ochrespan/control_plane/controller_node.py
@@ -0,0 +1,119 @@
+"""Everything that a controller runs on top of its replicas: the control interface, the feed and the census."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import gevent
+
+from ..coordination.shards import ALL_SHARDS, CONFIG_SHARD
+from ..transport.rpc import CallServer
+from ..transport.tcp import Address, format_address
+from .api import ControlApi
+from .control_service import ControlService, Peers
+from .feed_messages import oldest_quorum
+from .feed_server import FeedServer
+from .instances import InstanceMachine, InstanceRecord, record_fields
+from .orders import ConfigurationMachine
+from .owners import ConfigurationOwner, InstanceOwner, ReplicaGroups
+from .presence import PresenceReporter, RouterCensus
+from .replica_host import StateMachine
+
+READY_QUORUM_AGE_S = 1.0
+
+
+class ControlState:
+    """The state machines of all shards."""
+
+    def __init__(self) -> None:
+        self.configuration = ConfigurationMachine()
+        self.instances = {shard: InstanceMachine() for shard in ALL_SHARDS if shard != CONFIG_SHARD}
+
+    def records(self) -> list[InstanceRecord]:
+        """The registered instances of all shards."""
+        return [record for machine in self.instances.values() for record in machine.records.values()]
+
+    @property
+    def machines(self) -> dict[int, StateMachine]:
+        """The machine of each shard, for the replica host."""
+        return {CONFIG_SHARD: self.configuration, **self.instances}
+
+
+class ControllerNode:
+    """Wires the parts of a controller; the replica host calls `applied`, `restored` and `leadership_changed`."""
+
+    def __init__(
+        self,
+        node: str,
+        zone: str,
+        address: Address,
+        heartbeat_s: float,
+        groups: ReplicaGroups,
+        state: ControlState,
+        call_server: CallServer,
+        known_controllers: Callable[[], Iterable[Address]],
+    ) -> None:
+        self._node = node
+        self._zone = zone
+        self._address = address
+        self._groups = groups
+        self._state = state
+        self._peers = Peers()
+        self._census = RouterCensus()
+        self._instance_owner = InstanceOwner(groups, state.instances, heartbeat_s)
+        configuration_owner = ConfigurationOwner(groups, state.configuration)
+        self.service = ControlService(groups, configuration_owner, self._instance_owner, state.instances, self._peers)
+        self.api = ControlApi(self.service, self.status, self.is_ready)
+        self._feed = FeedServer(groups, state.configuration, state.instances, self._census, self._controllers)
+        self._presence = PresenceReporter(address, zone, self._census, self._peers, known_controllers)
+        for part in (self.service, self._feed, self._presence):
+            part.register(call_server)
+
+    def start(self) -> None:
+        """Begins the periodic work."""
+        for task in (self._instance_owner.watch, self._feed.run, self._presence.run):
+            gevent.spawn(task)
+
+    def applied(self, shard: int, index: int, command: bytes, result: Any) -> None:
+        """A command was applied."""
+        self._feed.applied(shard, index, result)
+
+    def restored(self, shard: int) -> None:
+        """A shard jumped ahead by a snapshot."""
+        self._feed.restored(shard)
+
+    def leadership_changed(self, shard: int, is_leader: bool) -> None:
+        """This process began or ceased to lead a shard."""
+        self._instance_owner.leadership_changed(shard, is_leader)
+
+    def is_ready(self) -> bool:
+        """Whether every shard's group has a majority."""
+        return oldest_quorum({shard: self._groups.quorum_age(shard) for shard in ALL_SHARDS}) <= READY_QUORUM_AGE_S
+
+    def status(self) -> dict[str, Any]:
+        """What the command line shows."""
+        return {
+            "node": self._node,
+            "zone": self._zone,
+            "version": self._state.configuration.current.version,
+            "shards": [self._shard_status(shard) for shard in ALL_SHARDS],
+            "controllers": [
+                {"address": format_address(address), "zone": zone} for address, zone in self._controllers()
+            ],
+            "routers": self._census.routers(),
+            "instances": [record_fields(record) for record in self._state.records()],
+        }
+
+    def _shard_status(self, shard: int) -> dict[str, Any]:
+        leader = self._groups.leader(shard)
+        return {
+            "shard": shard,
+            "leader": None if leader is None else format_address(leader),
+            "leads": self._groups.is_leader(shard),
+            "quorum_age_s": round(min(self._groups.quorum_age(shard), 1e9), 3),
+            "offset": self._groups.applied_index(shard),
+        }
+
+    def _controllers(self) -> list[tuple[Address, str]]:
+        return [(self._address, self._zone), *self._census.controllers()]
--- /dev/null
+++ b/ochrespan/control_plane/documents.py
@@ -0,0 +1,237 @@
+"""What the operator and the servers send, as typed dictionaries, and their reading from JSON.
+
+The checks here need the document alone. What depends on the configuration in force is judged in `configuration`.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+from typing import Annotated, Any, NotRequired, TypedDict
+
+from ..transport.tcp import parse_address
+from .checking import (
+    Check,
+    CheckFailed,
+    Finding,
+    Findings,
+    flag,
+    list_of,
+    number,
+    one_of,
+    optional,
+    report,
+    show,
+    text,
+    typed,
+    whole,
+)
+
+MAX_ID_CHARACTERS = 200
+_COUNT = whole()
+_MILLISECONDS = number()
+_NAME = text(1, 1024)
+_PRINTABLE = re.compile(r"[\x21-\x7e]+")
+
+
+def _path_prefix(value: Any, where: str, findings: Findings) -> None:
+    if not isinstance(value, str) or not value.startswith("/") or not value.endswith("/"):
+        report(findings, where, show(value), "a path that begins and ends with a slash")
+
+
+def _key(value: Any, where: str, findings: Findings) -> None:
+    if not isinstance(value, str) or not _PRINTABLE.fullmatch(value):
+        report(findings, where, show(value), "a key of printable ASCII characters")
+
+
+def _address(value: Any, where: str, findings: Findings) -> None:
+    try:
+        parse_address(value if isinstance(value, str) else "")
+    except ValueError:
+        report(findings, where, show(value), "IP:PORT")
+
+
+class TrafficSplit(TypedDict):
+    """A part of a route's traffic."""
+
+    backend: Annotated[str, _NAME]
+    weight: Annotated[float, number()]
+
+
+class RouteDocument(TypedDict):
+    """A route: a host and path prefix, and the service or services behind it."""
+
+    name: Annotated[str, _NAME]
+    hostname: Annotated[str, _NAME]
+    path_prefix: Annotated[str, _path_prefix]
+    route_type: NotRequired[Annotated[str, text()]]
+    timeout_ms: NotRequired[Annotated[float, number(above=True)]]
+    target_latency_ms: NotRequired[Annotated[float | None, optional(_MILLISECONDS)]]
+    priority: NotRequired[Annotated[int | None, optional(_COUNT)]]
+    backend: NotRequired[Annotated[str | None, optional(_NAME)]]
+    traffic_split: NotRequired[Annotated[list[TrafficSplit] | None, optional(list_of(typed(TrafficSplit)))]]
+    max_retries: NotRequired[Annotated[int | None, optional(_COUNT)]]
+    public: NotRequired[Annotated[bool | None, optional(flag)]]
+    session_affinity: NotRequired[Annotated[bool | None, optional(flag)]]
+    resumable: NotRequired[Annotated[bool | None, optional(flag)]]
+    gap_aim_ms: NotRequired[Annotated[float | None, optional(_MILLISECONDS)]]
+
+
+class ServiceDocument(TypedDict):
+    """A service that servers register for."""
+
+    name: Annotated[str, _NAME]
+    health_check: NotRequired[Annotated[str | None, optional(text(0))]]
+    max_connections: NotRequired[Annotated[int | None, optional(_COUNT)]]
+    protocol: NotRequired[Annotated[str | None, optional(text(0))]]
+    tls: NotRequired[Annotated[bool | None, optional(flag)]]
+    runtime: NotRequired[dict[str, Any] | None]
+
+
+class TenantDocument(TypedDict):
+    """A tenant, its keys and its quota."""
+
+    name: Annotated[str, _NAME]
+    api_keys: Annotated[list[str], list_of(_key)]
+    priority: NotRequired[Annotated[int | None, optional(_COUNT)]]
+    unit: NotRequired[Annotated[str | None, optional(text(0))]]
+    plain_tokens: NotRequired[Annotated[float | None, optional(number())]]
+    rate_per_s: NotRequired[Annotated[float | None, optional(number())]]
+    burst: NotRequired[Annotated[float | None, optional(number())]]
+
+
+class LimitsDocument(TypedDict, total=False):
+    """What a client may send, and how long it may take or remain idle."""
+
+    max_header_bytes: NotRequired[Annotated[int | None, optional(whole(1))]]
+    max_body_bytes: NotRequired[Annotated[int | None, optional(whole(0))]]
+    header_timeout_ms: NotRequired[Annotated[float | None, optional(number(above=True))]]
+    idle_timeout_ms: NotRequired[Annotated[float | None, optional(number(above=True))]]
+
+
+_check_route_fields = typed(RouteDocument)
+
+
+def check_route(value: Any, where: str, findings: Findings) -> None:
+    """A whole route, with at least one service and some weight."""
+    before = len(findings)
+    _check_route_fields(value, where, findings)
+    if len(findings) > before:
+        return
+    split = value.get("traffic_split")
+    if not split and value.get("backend") is None:
+        report(findings, f"{where}.backend", "nothing", "a service, or a traffic_split")
+    elif split and sum(part["weight"] for part in split) <= 0:
+        report(findings, f"{where}.traffic_split", "weights that add up to 0", "a sum above 0")
+    elif split is not None and not split:
+        report(findings, f"{where}.traffic_split", "an empty list", "at least one part")
+
+
+def _uniquely_named(item: Check) -> Check:
+    """A list of items of which no two have the same name."""
+    check_items = list_of(item)
+
+    def check(value: Any, where: str, findings: Findings) -> None:
+        before = len(findings)
+        check_items(value, where, findings)
+        if len(findings) > before:
+            return
+        positions: dict[str, int] = {}
+        for position, entry in enumerate(value):
+            first = positions.setdefault(entry["name"], position)
+            if first != position:
+                report(
+                    findings,
+                    f"{where}[{position}].name",
+                    f"{show(entry['name'])}, as in {where}[{first}]",
+                    "a name of its own",
+                )
+
+    return check
+
+
+_ROUTES = _uniquely_named(check_route)
+_SERVICES = _uniquely_named(typed(ServiceDocument))
+_TENANTS = _uniquely_named(typed(TenantDocument))
+_LIMITS = typed(LimitsDocument)
+_NAMES = list_of(_NAME)
+
+
+class ConfigurationDocument(TypedDict):
+    """The body of `PUT /api/config`."""
+
+    generation: Annotated[int, whole()]
+    routes: Annotated[list[RouteDocument], _ROUTES]
+    services: Annotated[list[ServiceDocument], _SERVICES]
+    limits: NotRequired[Annotated[LimitsDocument, _LIMITS]]
+    tenants: NotRequired[Annotated[list[TenantDocument] | None, optional(_TENANTS)]]
+
+
+class Upserts(TypedDict, total=False):
+    """Items to add, or to replace by name; limits are replaced field by field."""
+
+    routes: NotRequired[Annotated[list[RouteDocument], _ROUTES]]
+    services: NotRequired[Annotated[list[ServiceDocument], _SERVICES]]
+    tenants: NotRequired[Annotated[list[TenantDocument], _TENANTS]]
+    limits: NotRequired[Annotated[LimitsDocument, _LIMITS]]
+
+
+class Deletions(TypedDict, total=False):
+    """Names of items to remove, and of limits to drop."""
+
+    routes: NotRequired[Annotated[list[str], _NAMES]]
+    services: NotRequired[Annotated[list[str], _NAMES]]
+    tenants: NotRequired[Annotated[list[str], _NAMES]]
+    limits: NotRequired[Annotated[list[str], _NAMES]]
+
+
+class PatchDocument(TypedDict):
+    """The body of `PATCH /api/config`."""
+
+    generation: Annotated[int, whole()]
+    upsert: NotRequired[Annotated[Upserts | None, optional(typed(Upserts))]]
+    delete: NotRequired[Annotated[Deletions | None, optional(typed(Deletions))]]
+
+
+class ModelDocument(TypedDict):
+    """A model that a server holds."""
+
+    name: Annotated[str, text(0)]
+    generation: NotRequired[Annotated[int | None, optional(_COUNT)]]
+
+
+class InstanceDocument(TypedDict):
+    """The body of `PUT /api/instances/ID`."""
+
+    backend: Annotated[str, _NAME]
+    address: Annotated[str, _address]
+    state: Annotated[str, one_of("ready", "draining")]
+    sequence: NotRequired[Annotated[int, whole()]]
+    zone: NotRequired[Annotated[str | None, optional(text(0))]]
+    generation: NotRequired[Annotated[str | None, optional(text(0))]]
+    capacity: NotRequired[Annotated[int | None, optional(_COUNT)]]
+    cold_remaining_ms: NotRequired[Annotated[float | None, optional(_MILLISECONDS)]]
+    phase: NotRequired[Annotated[str | None, optional(text(0))]]
+    models: NotRequired[Annotated[list[ModelDocument] | None, optional(list_of(typed(ModelDocument)))]]
+
+
+CHECK_CONFIGURATION = typed(ConfigurationDocument)
+CHECK_PATCH = typed(PatchDocument)
+CHECK_INSTANCE = typed(InstanceDocument)
+
+
+def _refuse_constant(constant: str) -> Any:
+    raise ValueError(f"{constant} is no JSON number")
+
+
+def read_json(body: bytes, check: Check) -> dict[str, Any]:
+    """The checked document in a request's body; raises CheckFailed with all findings."""
+    try:
+        document = json.loads(body, parse_constant=_refuse_constant)
+    except (ValueError, RecursionError) as error:
+        raise CheckFailed([Finding("body", str(error) or "too deep a nesting", "a whole JSON document")]) from error
+    findings: Findings = []
+    check(document, "", findings)
+    if findings:
+        raise CheckFailed(findings)
+    return document
--- /dev/null
+++ b/ochrespan/control_plane/feed_client.py
@@ -0,0 +1,198 @@
+"""The router's end of the change feed: keeps a FleetTable current from one controller at a time.
+
+The client leaves a controller that is silent or whose groups lost their majority, and never takes a lower offset of a
+shard in one life. While no controller can be reached the last table stays.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable
+from time import monotonic
+
+import gevent
+
+from ..coordination.shards import ALL_SHARDS, CONFIG_SHARD, shard_of
+from ..transport.codec import MessageError
+from ..transport.tcp import Address, Connection, ConnectionClosed, dial, format_address
+from .controller_choice import ControllerChoice
+from .feed_messages import (
+    FeedDelta,
+    FeedSnapshot,
+    Freshness,
+    Subscribe,
+    oldest_quorum,
+    unpack_configuration_change,
+    unpack_instances_change,
+)
+from .fleet_table import (
+    FleetChange,
+    FleetTable,
+    with_configuration_change,
+    with_instances_change,
+    with_routers,
+    with_whole_configuration,
+    with_whole_shard,
+)
+from .peer_addresses import PeerSettings, seed_peer_addresses
+
+log = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_S = 1.0
+SILENCE_LIMIT_S = 1.2
+OLDEST_QUORUM_S = 1.0
+PATIENCE_S = 3.0  # a first table of doubtful age is taken after this long without a better one
+SHORTEST_STAY_S = 5.0  # before a move to a controller that is merely nearer
+
+OnChange = Callable[[FleetTable, FleetChange], None]
+
+
+class LeaveController(Exception):
+    """Another controller serves better."""
+
+
+class FeedClient:
+    """`table` is None until a first complete state with a configuration has arrived."""
+
+    def __init__(self, settings: PeerSettings, on_change: OnChange | None = None) -> None:
+        self.table: FleetTable | None = None
+        self.controller: Address | None = None
+        self.on_change = on_change
+        self._node = settings["node"]
+        self._zone = settings["zone"]
+        self._choice = ControllerChoice(self._node, self._zone, seed_peer_addresses(settings))
+        self._draft = FleetTable()  # what is known, also before it is good enough to serve by
+        self._offsets: dict[int, int] = {}
+        self._complete_since: float | None = None
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begins to follow a controller."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Ends; the table stays."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    def settings_changed(self, settings: PeerSettings) -> None:
+        """The settings may name other seeds."""
+        self._choice.add_seeds(seed_peer_addresses(settings))
+
+    def _run(self) -> None:
+        while True:
+            address = self._choice.best(monotonic())
+            try:
+                self._follow(address)
+            except LeaveController as reason:
+                log.info("feed left controller=%s reason=%r", format_address(address), str(reason))
+            except (OSError, ConnectionClosed, MessageError) as error:
+                log.info("feed lost controller=%s error=%r", format_address(address), str(error))
+            self.controller = None
+            self._publish_after_patience()
+            gevent.sleep(self._choice.pause(monotonic(), random.random()))
+
+    def _follow(self, address: Address) -> None:
+        connection = None
+        try:
+            connection = dial(address, CONNECT_TIMEOUT_S)
+            connection.limit_silence(SILENCE_LIMIT_S)
+            connection.send(Subscribe(self._node, self._zone, dict(self._offsets)))
+            self._read(address, connection, since=monotonic())
+        except (OSError, ConnectionClosed, MessageError, LeaveController):
+            self._choice.failed(address, monotonic(), random.random())
+            raise
+        finally:
+            if connection is not None:
+                connection.close()
+
+    def _read(self, address: Address, connection: Connection, since: float) -> None:
+        while True:
+            received = connection.receive()
+            if isinstance(received, FeedDelta):
+                self._take_delta(received)
+            elif isinstance(received, FeedSnapshot):
+                self._take_snapshot(received)
+            elif isinstance(received, Freshness):
+                self._take_freshness(received, address)
+                if monotonic() - since > SHORTEST_STAY_S and self._choice.is_nearer_than(address, monotonic()):
+                    return
+
+    def _take_delta(self, delta: FeedDelta) -> None:
+        offset = self._offsets.get(delta.shard)
+        if offset is None or delta.previous > offset:
+            raise LeaveController(f"gap in shard {delta.shard}: {delta.previous} after {offset}")
+        if delta.offset <= offset:
+            return
+        if delta.shard == CONFIG_SHARD:
+            change = with_configuration_change(self._draft, unpack_configuration_change(delta.body))
+        else:
+            change = with_instances_change(self._draft, unpack_instances_change(delta.body), monotonic())
+        self._offsets[delta.shard] = delta.offset
+        self._draft_changed(*change)
+
+    def _take_snapshot(self, snapshot: FeedSnapshot) -> None:
+        shard = snapshot.shard
+        if snapshot.offset < self._offsets.get(shard, 0):
+            return
+        if shard == CONFIG_SHARD:
+            change = with_whole_configuration(self._draft, unpack_configuration_change(snapshot.body))
+        else:
+            services = [service for service in self._draft.instances if shard_of(service) == shard]
+            whole = unpack_instances_change(snapshot.body)
+            change = with_whole_shard(self._draft, whole, services, monotonic())
+        self._offsets[shard] = snapshot.offset
+        self._draft_changed(*change)
+
+    def _take_freshness(self, freshness: Freshness, address: Address) -> None:
+        for shard, offset in freshness.offsets.items():
+            if shard in self._offsets:
+                self._offsets[shard] = max(offset, self._offsets[shard])
+        self._choice.told({(ip, port): zone for ip, port, zone in freshness.controllers}, monotonic())
+        if (age := oldest_quorum(freshness.quorum_ages)) > OLDEST_QUORUM_S:
+            raise LeaveController(f"no majority for {age:.1f} s")
+        self.controller = address
+        self._choice.succeeded(address)
+        self._draft_changed(*with_routers(self._draft, freshness.router_count, freshness.router_rank))
+        if self.table is None and self._is_complete():
+            self._publish(_everything(self._draft))
+
+    def _draft_changed(self, draft: FleetTable, change: FleetChange) -> None:
+        if draft is self._draft:
+            return
+        self._draft = draft
+        if self._complete_since is None and self._is_complete():
+            self._complete_since = monotonic()
+        if self.table is not None:
+            self._publish(change)
+
+    def _is_complete(self) -> bool:
+        return self._draft.version > 0 and all(shard in self._offsets for shard in ALL_SHARDS)
+
+    def _publish_after_patience(self) -> None:
+        since = self._complete_since
+        if self.table is None and since is not None and monotonic() - since > PATIENCE_S:
+            self._publish(_everything(self._draft))
+
+    def _publish(self, change: FleetChange) -> None:
+        self.table = self._draft
+        if self.on_change is None:
+            return
+        try:
+            self.on_change(self._draft, change)
+        except Exception:
+            log.exception("feed change not taken version=%d", self._draft.version)
+
+
+def _everything(table: FleetTable) -> FleetChange:
+    view = table.configuration
+    return FleetChange(
+        version=True,
+        routes=frozenset(view.routes),
+        services=frozenset(view.services),
+        tenants=frozenset(view.tenants),
+        limits=True,
+        instances=frozenset(table.instances),
+        routers=True,
+    )
--- /dev/null
+++ b/ochrespan/control_plane/feed_messages.py
@@ -0,0 +1,97 @@
+"""The messages of the change feed, from a controller to routers and between controllers."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..transport.codec import message
+from . import compact
+from .configuration import SECTIONS, ConfigurationChange, SectionChange
+from .instances import InstancesChange, record_fields, record_from_fields
+
+FRESHNESS_INTERVAL_S = 0.5
+
+
+@message("feed.subscribe")
+@dataclass(slots=True)
+class Subscribe:
+    """A router asks for the feed from the offsets that it has, by shard."""
+
+    node: str
+    zone: str
+    offsets: dict[int, int] = field(default_factory=dict)
+
+
+@message("feed.snapshot")
+@dataclass(slots=True)
+class FeedSnapshot:
+    """The whole state of a shard at an offset; for the configuration's shard, a change from the empty configuration."""
+
+    shard: int
+    offset: int
+    body: bytes
+
+
+@message("feed.delta")
+@dataclass(slots=True)
+class FeedDelta:
+    """A change of a shard: the step from the change at `previous` to the one at `offset`."""
+
+    shard: int
+    previous: int
+    offset: int
+    body: bytes
+
+
+@message("feed.freshness")
+@dataclass(slots=True)
+class Freshness:
+    """How fresh the feed is, by shard; every change up to the offsets has been sent before this."""
+
+    quorum_ages: dict[int, float]  # seconds since each shard's group was known to have a majority
+    offsets: dict[int, int]
+    controllers: list[list[Any]]  # IP, port and zone of each controller that is known
+    router_count: int
+    router_rank: int  # of the receiver, among the routers in the order of their names
+
+
+@message("feed.presence")
+@dataclass(slots=True)
+class Presence:
+    """A controller tells another of itself and of the routers that read its feed."""
+
+    ip: str
+    port: int
+    zone: str
+    routers: list[str]
+
+
+def pack_configuration_change(change: ConfigurationChange) -> bytes:
+    """The body of a message for the configuration's shard."""
+    sections = [[list(part.upserted), list(part.deleted)] for part in (getattr(change, name) for name in SECTIONS)]
+    return compact.pack([change.version, sections, None if change.others is None else dict(change.others)])
+
+
+def unpack_configuration_change(body: bytes) -> ConfigurationChange:
+    """What `pack_configuration_change` was given."""
+    version, sections, others = compact.unpack(body)
+    changes = [SectionChange(tuple(upserted), tuple(deleted)) for upserted, deleted in sections]
+    return ConfigurationChange(version, **dict(zip(SECTIONS, changes, strict=True)), others=others)
+
+
+def pack_instances_change(change: InstancesChange) -> bytes:
+    """The body of a message for a shard of instances."""
+    return compact.pack([[record_fields(record) for record in change.upserted], list(change.removed)])
+
+
+def unpack_instances_change(body: bytes) -> InstancesChange:
+    """What `pack_instances_change` was given."""
+    upserted, removed = compact.unpack(body)
+    return InstancesChange(tuple(record_from_fields(each) for each in upserted), tuple(removed))
+
+
+def oldest_quorum(ages: Mapping[int, float]) -> float:
+    """The age of the shard that was without a majority for longest."""
+    return max(ages.values(), default=0.0)
--- /dev/null
+++ b/ochrespan/control_plane/instances.py
@@ -0,0 +1,226 @@
+"""The state machine of a shard of instances: which incarnations of servers are registered, draining or gone.
+
+An incarnation that is draining does not become ready again, and one that is gone does not come back. An incarnation
+that was expired, since it was not heard of, may come back by a report with a higher sequence number.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from ..transport.codec import MessageError, decode, message
+from . import compact
+
+REMEMBERED_GONE = 8192
+
+
+class InstanceState(enum.StrEnum):
+    """The states that a server reports."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceRecord:
+    """One incarnation of a server, as it last reported a change of itself."""
+
+    id: str
+    backend: str
+    address: str
+    state: str
+    sequence: int = 0
+    zone: str = ""
+    generation: str = ""
+    capacity: int = 0
+    cold_remaining_ms: float = 0.0  # at the time of the report
+    phase: str = ""
+    models: tuple[Mapping[str, Any], ...] = ()
+
+    def same_apart_from_time(self, other: InstanceRecord) -> bool:
+        """Whether a report tells nothing new, so that it is a mere heartbeat."""
+        return (
+            self.state == other.state
+            and self.address == other.address
+            and self.backend == other.backend
+            and self.zone == other.zone
+            and self.generation == other.generation
+            and self.capacity == other.capacity
+            and self.phase == other.phase
+            and self.models == other.models
+        )
+
+
+def record_of(instance_id: str, document: Mapping[str, Any]) -> InstanceRecord:
+    """The record for a checked report of a server."""
+    return InstanceRecord(
+        id=instance_id,
+        backend=document["backend"],
+        address=document["address"],
+        state=document["state"],
+        sequence=document.get("sequence", 0),
+        zone=document.get("zone") or "",
+        generation=document.get("generation") or "",
+        capacity=document.get("capacity") or 0,
+        cold_remaining_ms=document.get("cold_remaining_ms") or 0.0,
+        phase=document.get("phase") or "",
+        models=tuple(document.get("models") or ()),
+    )
+
+
+def record_fields(record: InstanceRecord) -> dict[str, Any]:
+    """The record as a map, for messages and answers."""
+    return asdict(record)
+
+
+def record_from_fields(fields: Mapping[str, Any]) -> InstanceRecord:
+    """The record that `record_fields` has written, by this version of the program or another."""
+    known = {name: value for name, value in fields.items() if name in InstanceRecord.__dataclass_fields__}
+    return InstanceRecord(**{**known, "models": tuple(known.get("models") or ())})
+
+
+@message("cp.register")
+@dataclass(slots=True)
+class RegisterInstance:
+    """A new incarnation, or a change of one: the fields of its record."""
+
+    record: dict[str, Any]
+
+
+@message("cp.remove")
+@dataclass(slots=True)
+class RemoveInstance:
+    """An incarnation has ended."""
+
+    id: str
+
+
+@message("cp.expire")
+@dataclass(slots=True)
+class ExpireInstances:
+    """Incarnations that were silent, each with the sequence number of its record when that was found."""
+
+    sequences: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class InstancesChange:
+    """What a command changed."""
+
+    upserted: tuple[InstanceRecord, ...] = ()
+    removed: tuple[str, ...] = ()
+
+    def __bool__(self) -> bool:
+        return bool(self.upserted or self.removed)
+
+
+NO_CHANGE = InstancesChange()
+
+
+@dataclass(slots=True)
+class _Departed:
+    """Incarnations that are no longer registered, oldest first, bounded."""
+
+    entries: dict[str, list[Any]] = field(default_factory=dict)
+
+    def add(self, instance_id: str, sequence: int, final: bool, draining: bool = False) -> None:
+        self.entries.pop(instance_id, None)
+        self.entries[instance_id] = [sequence, final, draining]
+        if len(self.entries) > REMEMBERED_GONE:
+            del self.entries[next(iter(self.entries))]
+
+
+class InstanceMachine:
+    """The instances of the services of one shard."""
+
+    def __init__(self) -> None:
+        self.records: dict[str, InstanceRecord] = {}
+        self._ids_by_address: dict[str, str] = {}
+        self._departed = _Departed()
+
+    def apply(self, index: int, command: bytes) -> InstancesChange:
+        """What the command changed; nothing for one that comes too late."""
+        try:
+            decoded = decode(command)
+        except MessageError:
+            return NO_CHANGE
+        if isinstance(decoded, RegisterInstance):
+            return self._register(record_from_fields(decoded.record))
+        if isinstance(decoded, RemoveInstance):
+            return self._remove(decoded.id)
+        if isinstance(decoded, ExpireInstances):
+            return self._expire(decoded.sequences)
+        return NO_CHANGE
+
+    def accepts(self, record: InstanceRecord) -> bool:
+        """Whether a report is newer than what is known and does not lead back."""
+        known = self.records.get(record.id)
+        if known is not None:
+            return record.sequence > known.sequence and not _leads_back(known.state, record.state)
+        if (departed := self._departed.entries.get(record.id)) is None:
+            return True
+        sequence, final, draining = departed
+        return not final and record.sequence > sequence and not (draining and record.state == InstanceState.READY)
+
+    def snapshot(self) -> bytes:
+        """The whole state, compressed."""
+        state = [[record_fields(record) for record in self.records.values()], self._departed.entries]
+        return compact.pack(state)
+
+    def restore(self, data: bytes) -> None:
+        """Takes over the state of a snapshot."""
+        records, departed = compact.unpack(data)
+        self.records = {fields["id"]: record_from_fields(fields) for fields in records}
+        self._ids_by_address = {record.address: record.id for record in self.records.values()}
+        self._departed = _Departed(departed)
+
+    def _register(self, record: InstanceRecord) -> InstancesChange:
+        if not self.accepts(record):
+            return NO_CHANGE
+        removed: tuple[str, ...] = ()
+        holder = self._ids_by_address.get(record.address)
+        if holder is not None and holder != record.id:
+            self._depart(self.records[holder], final=True)
+            removed = (holder,)
+        known = self.records.get(record.id)
+        if known is not None and known.address != record.address:
+            self._ids_by_address.pop(known.address, None)
+        self._departed.entries.pop(record.id, None)
+        self.records[record.id] = record
+        self._ids_by_address[record.address] = record.id
+        return InstancesChange((record,), removed)
+
+    def _remove(self, instance_id: str) -> InstancesChange:
+        record = self.records.get(instance_id)
+        if record is None:
+            self._mark_expired_as_gone(instance_id)
+            return NO_CHANGE
+        self._depart(record, final=True)
+        return InstancesChange(removed=(instance_id,))
+
+    def _mark_expired_as_gone(self, instance_id: str) -> None:
+        if instance_id in self._departed.entries:
+            self._departed.add(instance_id, self._departed.entries[instance_id][0], final=True)
+
+    def _expire(self, sequences: Mapping[str, int]) -> InstancesChange:
+        expired = [
+            record
+            for instance_id, sequence in sequences.items()
+            if (record := self.records.get(instance_id)) is not None and record.sequence == sequence
+        ]
+        for record in expired:
+            self._depart(record, final=False)
+        return InstancesChange(removed=tuple(record.id for record in expired))
+
+    def _depart(self, record: InstanceRecord, final: bool) -> None:
+        del self.records[record.id]
+        if self._ids_by_address.get(record.address) == record.id:
+            del self._ids_by_address[record.address]
+        self._departed.add(record.id, record.sequence, final, record.state == InstanceState.DRAINING)
+
+
+def _leads_back(before: str, after: str) -> bool:
+    return before == InstanceState.DRAINING and after == InstanceState.READY
--- /dev/null
+++ b/ochrespan/control_plane/orders.py
@@ -0,0 +1,121 @@
+"""The state machine of the configuration's shard: judges the operator's orders from the applied state alone."""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+from dataclasses import dataclass
+from typing import Any
+
+from ..transport.codec import MessageError, decode, encode, message
+from . import compact
+from .checking import CheckFailed, Finding
+from .configuration import Configuration, ConfigurationChange, change_of_patch, change_to
+
+REMEMBERED_ORDERS = 8192
+DIGEST_BYTES = 16
+
+
+class OrderKind(enum.StrEnum):
+    """How an order changes the configuration."""
+
+    WHOLE = "whole"  # PUT
+    PATCH = "patch"
+
+
+@message("cp.order")
+@dataclass(slots=True)
+class Order:
+    """A change of the configuration on top of version `builds_on`. The body is packed by `compact`."""
+
+    kind: str
+    builds_on: int
+    digest: bytes
+    body: bytes
+
+
+class Judgement(enum.Enum):
+    """What became of an order."""
+
+    TAKEN = "taken"
+    TAKEN_BEFORE = "taken before"
+    OTHER_VERSION = "another version is current"
+    INVALID = "invalid"
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """The judgement of an order; `version` is the one it made, or else the current one."""
+
+    judgement: Judgement
+    version: int
+    findings: tuple[Finding, ...] = ()
+    change: ConfigurationChange | None = None
+
+
+def make_order(kind: OrderKind, builds_on: int, document: dict[str, Any]) -> Order:
+    """The order for a checked document; the same document makes the same order, however its fields are ordered."""
+    try:
+        body = compact.pack_sorted(document)
+    except compact.NotPackable as error:
+        raise CheckFailed([Finding("body", str(error), "strings of Unicode, numbers of 64 bits")]) from error
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    digest.update(f"{kind.value} {builds_on} ".encode())
+    digest.update(body)
+    return Order(kind.value, builds_on, digest.digest(), compact.compress(body))
+
+
+class ConfigurationMachine:
+    """Applies orders one after the other and remembers those that were taken, so that none is refused later."""
+
+    def __init__(self) -> None:
+        self.current = Configuration()
+        self._taken: dict[bytes, int] = {}  # version by digest, oldest first
+
+    def apply(self, index: int, command: bytes) -> Verdict:
+        """The verdict on an order, the same at every replica."""
+        try:
+            order = decode(command)
+        except MessageError as error:
+            return self._refuse(Finding(error.where, error.found, error.allowed))
+        if not isinstance(order, Order):
+            return self._refuse(Finding("command", type(order).__name__, "an order"))
+        return self._judge(order)
+
+    def snapshot(self) -> bytes:
+        """The whole state, compressed."""
+        return compact.pack([self.current.document(), list(self._taken.items())])
+
+    def restore(self, data: bytes) -> None:
+        """Takes over the state of a snapshot."""
+        document, taken = compact.unpack(data)
+        empty = Configuration()
+        self.current = empty.changed_by(change_to(empty, document)) if document["generation"] else empty
+        self._taken = dict(taken)
+
+    def _judge(self, order: Order) -> Verdict:
+        if (version := self._taken.get(order.digest)) is not None:
+            return Verdict(Judgement.TAKEN_BEFORE, version)
+        if order.builds_on != self.current.version:
+            return Verdict(Judgement.OTHER_VERSION, self.current.version)
+        make_change = change_to if order.kind == OrderKind.WHOLE else change_of_patch
+        change = make_change(self.current, compact.unpack(order.body))
+        try:
+            self.current = self.current.changed_by(change)
+        except CheckFailed as error:
+            return self._refuse(*error.findings)
+        self._remember(order.digest, change.version)
+        return Verdict(Judgement.TAKEN, change.version, change=change)
+
+    def _refuse(self, *findings: Finding) -> Verdict:
+        return Verdict(Judgement.INVALID, self.current.version, findings)
+
+    def _remember(self, digest: bytes, version: int) -> None:
+        self._taken[digest] = version
+        if len(self._taken) > REMEMBERED_ORDERS:
+            del self._taken[next(iter(self._taken))]
+
+
+def encode_order(order: Order) -> bytes:
+    """The command for the configuration's shard."""
+    return encode(order)
--- /dev/null
+++ b/ochrespan/control_plane/presence.py
@@ -0,0 +1,109 @@
+"""Which routers are live, from the readers of every controller's feed, and which controllers there are."""
+
+from __future__ import annotations
+
+import bisect
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from time import monotonic
+
+import gevent
+
+from ..transport.rpc import CallFailed, CallServer
+from ..transport.tcp import Address
+from .control_service import Peers
+from .feed_messages import Presence
+
+log = logging.getLogger(__name__)
+
+REPORT_INTERVAL_S = 1.0
+REPORT_TIMEOUT_S = 0.8
+REPORT_LASTS_S = 3.5  # a router that moves between controllers stays counted
+
+
+@dataclass(frozen=True, slots=True)
+class _Report:
+    routers: frozenset[str]
+    zone: str
+    at: float
+
+
+class RouterCensus:
+    """The live routers: those of this controller and those that other controllers have told of lately."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, float] = {}  # when each router was last among this controller's readers
+        self._reports: dict[Address, _Report] = {}
+        self._sorted: list[str] = []
+
+    def own(self, routers: Iterable[str], now: float) -> None:
+        """Notes the routers that read this controller's feed now."""
+        self._own.update(dict.fromkeys(routers, now))
+        self._own = {router: at for router, at in self._own.items() if now - at < REPORT_LASTS_S}
+        self._reports = {peer: each for peer, each in self._reports.items() if now - each.at < REPORT_LASTS_S}
+        self._sorted = sorted(set(self._own).union(*(report.routers for report in self._reports.values())))
+
+    def told(self, presence: Presence, now: float) -> None:
+        """Notes another controller's report."""
+        report = _Report(frozenset(presence.routers), presence.zone, now)
+        self._reports[(presence.ip, presence.port)] = report
+
+    def readers(self) -> list[str]:
+        """The routers of this controller."""
+        return list(self._own)
+
+    def routers(self) -> list[str]:
+        """All live routers by name."""
+        return list(self._sorted)
+
+    def controllers(self) -> list[tuple[Address, str]]:
+        """The other controllers that have reported lately, and their zones."""
+        return [(address, report.zone) for address, report in self._reports.items()]
+
+    def place_of(self, router: str) -> tuple[int, int]:
+        """How many routers are live, and how many of them come before this one by name."""
+        rank = bisect.bisect_left(self._sorted, router)
+        known = rank < len(self._sorted) and self._sorted[rank] == router
+        return len(self._sorted) + (0 if known else 1), rank
+
+
+class PresenceReporter:
+    """Tells the other controllers once a second of this one and of its routers."""
+
+    def __init__(
+        self, address: Address, zone: str, census: RouterCensus, peers: Peers, others: Callable[[], Iterable[Address]]
+    ) -> None:
+        self._address = address
+        self._zone = zone
+        self._census = census
+        self._peers = peers
+        self._others = others
+
+    def register(self, call_server: CallServer) -> None:
+        """Takes the reports of other controllers."""
+        call_server.on_call(Presence, self._told)
+
+    def run(self) -> None:
+        """Reports until the greenlet is killed."""
+        while True:
+            gevent.sleep(REPORT_INTERVAL_S)
+            for other in self._others():
+                if other != self._address:
+                    gevent.spawn(self._report_to, other)
+
+    def _told(self, presence: Presence) -> Presence:
+        self._census.told(presence, monotonic())
+        return self._own_presence()
+
+    def _report_to(self, other: Address) -> None:
+        try:
+            reply = self._peers.call(other, self._own_presence(), REPORT_TIMEOUT_S)
+        except CallFailed as error:
+            log.debug("presence not told peer=%s error=%s", other, error)
+            return
+        if isinstance(reply, Presence):
+            self._census.told(reply, monotonic())
+
+    def _own_presence(self) -> Presence:
+        return Presence(*self._address, self._zone, self._census.readers())
--- a/ochrespan/transport/tcp.py
+++ b/ochrespan/transport/tcp.py
@@ -98,6 +98,10 @@
                 raise MessageError("frame length", str(size), f"at most {MAX_FRAME_BYTES}")
             return decode(self._read_exactly(size))
 
+    def limit_silence(self, seconds: float) -> None:
+        """Ends the connection when no byte of a message has arrived, or could be sent, for this long."""
+        self._socket.settimeout(seconds)
+
     def close(self) -> None:
         if not self._closed:
             self._closed = True
--- /dev/null
+++ b/tests/control_plane_fakes.py
@@ -0,0 +1,103 @@
+"""Stand-ins for the replica groups: one process whose replica is the whole group, and which may refuse to decide."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+from ochrespan.control_plane.replica_host import NotLeader, NoVerdict, StateMachine
+from ochrespan.coordination.shards import ALL_SHARDS
+from ochrespan.transport.rpc import CallServer
+from ochrespan.transport.tcp import Address
+
+
+class SharedLog:
+    """The commands of every shard, as all members of a group see them."""
+
+    def __init__(self) -> None:
+        self.commands: dict[int, list[bytes]] = {shard: [] for shard in ALL_SHARDS}
+        self.leaders: dict[int, Address | None] = dict.fromkeys(ALL_SHARDS)
+        self.members: dict[Address, InMemoryGroups] = {}
+
+
+class InMemoryGroups:
+    """A member of every group; commands are committed at once, in the order in which they come."""
+
+    def __init__(self, machines: dict[int, StateMachine], log: SharedLog | None = None) -> None:
+        self.machines = machines
+        self.log = log or SharedLog()
+        self.applied: dict[int, int] = dict.fromkeys(ALL_SHARDS, 0)
+        self.quorum_ages: dict[int, float] = dict.fromkeys(ALL_SHARDS, 0.0)
+        self.on_applied: list[Callable[[int, int, bytes, Any], None]] = []
+        self.on_restored: list[Callable[[int], None]] = []
+        self.on_leadership: list[Callable[[int, bool], None]] = []
+        self.lose_verdicts_after_commit = 0
+        self.lose_commands = 0
+        self.call_server = CallServer(("127.0.0.1", 0))
+        self.call_server.start()
+        self.log.members[self.call_server.address] = self
+
+    @property
+    def address(self) -> Address:
+        return self.call_server.address
+
+    def lead(self, *shards: int) -> None:
+        """Makes this member the leader of the shards, or of all of them."""
+        for shard in shards or ALL_SHARDS:
+            before = self.log.leaders[shard]
+            self.log.leaders[shard] = self.address
+            if before is not None:
+                self.log.members[before].tell_leadership(shard, False)
+            self.tell_leadership(shard, True)
+
+    def tell_leadership(self, shard: int, is_leader: bool) -> None:
+        for callback in self.on_leadership:
+            callback(shard, is_leader)
+
+    def propose(self, shard: int, command: bytes, timeout: float) -> Any:
+        gevent.sleep(0)
+        if not self.is_leader(shard):
+            raise NotLeader(self.leader(shard))
+        if self.lose_commands:
+            self.lose_commands -= 1
+            raise NoVerdict("lost before it was appended")
+        self.log.commands[shard].append(command)
+        for member in self.log.members.values():
+            if member is not self:
+                member.catch_up(shard)
+        result = self.catch_up(shard)
+        if self.lose_verdicts_after_commit:
+            self.lose_verdicts_after_commit -= 1
+            raise NoVerdict("committed, but nobody heard")
+        return result
+
+    def catch_up(self, shard: int) -> Any:
+        """Applies the commands that this member has not applied; the result of the last."""
+        result = None
+        for command in self.log.commands[shard][self.applied[shard] :]:
+            self.applied[shard] += 1
+            result = self.machines[shard].apply(self.applied[shard], command)
+            for callback in self.on_applied:
+                callback(shard, self.applied[shard], command, result)
+        return result
+
+    def read_barrier(self, shard: int, timeout: float) -> None:
+        if not self.is_leader(shard):
+            raise NotLeader(self.leader(shard))
+
+    def leader(self, shard: int) -> Address | None:
+        return self.log.leaders[shard]
+
+    def is_leader(self, shard: int) -> bool:
+        return self.log.leaders[shard] == self.address
+
+    def quorum_age(self, shard: int) -> float:
+        return self.quorum_ages[shard]
+
+    def applied_index(self, shard: int) -> int:
+        return self.applied[shard]
+
+    def stop(self) -> None:
+        self.call_server.stop()
--- /dev/null
+++ b/tests/test_control_api.py
@@ -0,0 +1,95 @@
+"""The control interface over HTTP, with controllers that share an in-memory log."""
+
+import pytest
+
+from tests.control_plane_world import World, configuration, instance, route, service, tenant
+
+
+@pytest.fixture
+def world():
+    world = World(members=3)
+    yield world
+    world.close()
+
+
+def test_a_configuration_is_taken_and_read_back_at_any_controller(world):
+    first, second, third = world.controllers
+    document = configuration(7, tenants=[tenant("t", "k1", rate_per_s=3)], extra={"kept": True})
+    assert second.put_config(document, 0) == (200, {"generation": 7})
+    for controller in (first, second, third):
+        assert controller.call("GET", "/api/config") == (200, document)
+
+
+def test_a_patch_changes_items_by_name_and_keeps_the_rest(world):
+    controller = world.controllers[1]
+    controller.put_config(configuration(5, route("r1"), route("r2")), 0)
+    patch = {"generation": 9, "upsert": {"routes": [route("r3"), route("r1", timeout_ms=1)],
+                                         "services": [service("ledger")], "limits": {"idle_timeout_ms": 5}},
+             "delete": {"routes": ["r2", "never"]}}
+    assert controller.patch_config(patch, 5)[0] == 200
+    status, document = controller.call("GET", "/api/config")
+    assert status == 200 and document["generation"] == 9
+    assert [(each["name"], each["timeout_ms"]) for each in document["routes"]] == [("r1", 1), ("r3", 8000)]
+    assert [each["name"] for each in document["services"]] == ["judges", "ledger"]
+    assert document["limits"] == {"max_body_bytes": 4194304, "idle_timeout_ms": 5}
+
+
+def test_an_order_on_another_version_gets_412_and_an_older_generation_400(world):
+    controller = world.controllers[2]
+    controller.put_config(configuration(5), 0)
+    assert controller.put_config(configuration(6), 4)[0] == 412
+    assert controller.put_config(configuration(5, route("other")), 5)[0] == 400
+    assert controller.put_config(configuration(4), 5)[0] == 400
+    assert controller.call("GET", "/api/config")[1]["generation"] == 5
+
+
+def test_a_controller_without_a_leader_gives_no_verdict(world, monkeypatch):
+    monkeypatch.setattr("ochrespan.control_plane.control_service.CALL_TIMEOUT_S", 0.01)
+    monkeypatch.setattr("ochrespan.control_plane.owners.CALL_TIMEOUT_S", 0.01)
+    world.log.leaders = dict.fromkeys(world.log.leaders)
+    controller = world.controllers[0]
+    assert controller.put_config(configuration(5), 0)[0] == 503
+    assert controller.put_instance("i-1", instance(1))[0] == 503
+    assert controller.call("GET", "/api/config")[0] == 503
+
+
+def test_instances_are_registered_drained_and_removed_through_any_controller(world):
+    first, second, third = world.controllers
+    assert first.put_instance("i-1", instance(1)) == (200, {})
+    assert second.put_instance("i-1", instance(2, "draining")) == (200, {})
+    assert [each["state"] for each in third.node.status()["instances"]] == ["draining"]
+    assert third.call("DELETE", "/api/instances/i-1") == (200, {})
+    assert first.node.status()["instances"] == []
+    assert second.put_instance("i-1", instance(3)) == (200, {})
+    assert first.node.status()["instances"] == []
+
+
+def test_a_heartbeat_that_changes_nothing_is_not_logged(world):
+    world.controllers[0].put_instance("i-1", instance(1))
+    before = sum(map(len, world.log.commands.values()))
+    for sequence in range(2, 6):
+        assert world.controllers[sequence % 3].put_instance("i-1", instance(sequence))[0] == 200
+    assert sum(map(len, world.log.commands.values())) == before
+
+
+@pytest.mark.parametrize(("method", "path", "body", "headers", "status"), [
+    ("GET", "/nowhere", b"", {}, 404),
+    ("POST", "/api/config", b"", {}, 405),
+    ("PUT", "/api/config", b"{}", {}, 400),
+    ("PUT", "/api/config", b"{}", {"If_Match": "x"}, 400),
+    ("PUT", "/api/config", b'{"generation": 1, "routes": [', {"If_Match": "0"}, 400),
+    ("PUT", "/api/config", b"[" * 100_000, {"If_Match": "0"}, 400),
+    ("PUT", "/api/config", b'{"generation":1,"routes":[],"services":[],"x":"\\ud800"}', {"If_Match": "0"}, 400),
+    ("PUT", "/api/config", b'{"generation":1,"routes":[],"services":[],"x":%d}' % 2**80, {"If_Match": "0"}, 400),
+    ("PUT", "/api/config", b'{"generation":NaN,"routes":[],"services":[]}', {"If_Match": "0"}, 400),
+    ("PUT", "/api/config", b"\xff\xfe", {"If_Match": "0"}, 400),
+    ("PUT", "/api/instances/i-1", b"{}", {}, 400),
+    ("PUT", "/api/instances/", b"{}", {}, 400),
+    ("PUT", "/api/instances/" + "x" * 300, b"{}", {}, 400),
+])
+def test_bad_input_is_told_by_place_found_and_allowed(world, method, path, body, headers, status):
+    answered, document = world.controllers[1].call(method, path, body, **headers)
+    assert answered == status
+    for finding in document["findings"]:
+        assert finding["where"] and finding["found"] and finding["allowed"]
+    assert document["findings"] and not any(world.log.commands.values())
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,140 @@
+"""The change feed over loopback: controllers that share an in-memory log, and the routers that follow them."""
+
+from collections.abc import Callable
+
+import pytest
+from gevent.event import Event
+
+from ochrespan.control_plane.feed_client import FeedClient
+from ochrespan.control_plane.fleet_table import FleetChange, FleetTable
+from ochrespan.coordination.shards import shard_of
+from tests.control_plane_world import World, configuration, instance, route
+
+PATIENCE_S = 5.0
+
+
+class Router:
+    """A feed client, the tables that it was given, and a way to wait for one of them."""
+
+    def __init__(self, world: World, node: str = "edge-1", controllers: int = 1) -> None:
+        addresses = world.addresses()[:controllers]
+        self.client = FeedClient({"node": node, "zone": "z", "ip": "127.0.0.1", "seeds": [], "port_range": [1, 2]})
+        self.client._choice.add_seeds(addresses)
+        self.history: list[FleetTable] = []
+        self.changes: list[FleetChange] = []
+        self._waiting: list[tuple[Callable[[FleetTable], bool], Event]] = []
+        self.client.on_change = self._changed
+        self.client.start()
+
+    def _changed(self, table: FleetTable, change: FleetChange) -> None:
+        self.history.append(table)
+        self.changes.append(change)
+        for condition, event in self._waiting:
+            if condition(table):
+                event.set()
+
+    def wait(self, condition: Callable[[FleetTable], bool]) -> FleetTable:
+        event = Event()
+        self._waiting.append((condition, event))
+        if self.client.table is not None and condition(self.client.table):
+            return self.client.table
+        assert event.wait(PATIENCE_S), self.client.table
+        return self.client.table
+
+
+@pytest.fixture
+def world():
+    world = World(members=3)
+    yield world
+    world.close()
+
+
+@pytest.fixture
+def routers():
+    started: list[Router] = []
+    yield started
+    for router in started:
+        router.client.stop()
+
+
+def test_a_router_has_no_table_before_the_first_configuration_then_gets_all_changes(world, routers):
+    router = Router(world)
+    routers.append(router)
+    controller = world.controllers[0]
+    controller.put_instance("i-1", instance(1))
+    assert router.client.table is None
+    controller.put_config(configuration(5, route("r1"), route("r2")), 0)
+    table = router.wait(lambda table: table.version == 5)
+    assert set(table.configuration.routes) == {"r1", "r2"}
+    router.wait(lambda table: "i-1" in table.instances_of("judges"))
+    controller.put_instance("i-1", instance(2, "draining"))
+    router.wait(lambda table: table.instances_of("judges")["i-1"].state == "draining")
+    controller.patch_config({"generation": 6, "delete": {"routes": ["r2"]}}, 5)
+    table = router.wait(lambda table: table.version == 6)
+    assert set(table.configuration.routes) == {"r1"}
+    controller.call("DELETE", "/api/instances/i-1")
+    router.wait(lambda table: not table.instances_of("judges"))
+    assert FleetChange() not in router.changes
+    versions = [table.version for table in router.history]
+    assert versions == sorted(versions)
+
+
+def test_a_router_that_loses_its_controller_goes_on_at_another_from_its_offset(world, routers):
+    world.controllers[0].put_config(configuration(5), 0)
+    router = Router(world, controllers=3)
+    routers.append(router)
+    router.wait(lambda table: table.version == 5)
+    followed = next(each for each in world.controllers if each.groups.address == router.client.controller)
+    remaining = [each for each in world.controllers if each is not followed]
+    remaining[0].groups.lead()
+    followed.groups.quorum_ages = dict.fromkeys(followed.groups.quorum_ages, 5.0)
+    followed.groups.applied = dict.fromkeys(followed.groups.applied, 10**6)  # cut off: it applies nothing more
+    assert remaining[0].put_config(configuration(9), 5)[0] == 200
+    router.wait(lambda table: table.version == 9)
+    assert router.client.controller != followed.groups.address
+
+
+def test_routers_know_how_many_they_are_and_their_own_place(world, routers):
+    world.controllers[0].put_config(configuration(5), 0)
+    for name in ("edge-a", "edge-b", "edge-c"):
+        routers.append(Router(world, node=name))
+    for rank, router in enumerate(routers):
+        router.wait(lambda table, rank=rank: (table.router_count, table.router_rank) == (3, rank))
+
+
+def test_a_late_router_gets_the_whole_state_and_one_behind_only_what_it_missed(world, routers):
+    controller = world.controllers[0]
+    controller.put_config(configuration(5), 0)
+    controller.put_instance("i-1", instance(1))
+    first = Router(world)
+    routers.append(first)
+    first.wait(lambda table: "i-1" in table.instances_of("judges"))
+    first.client.stop()
+    before = dict(first.client._offsets)
+    controller.put_config(configuration(6, route("new")), 5)
+    controller.put_instance("i-2", instance(1, address="10.0.0.8:1"))
+    first.client.start()
+    table = first.wait(lambda table: table.version == 6 and len(table.instances_of("judges")) == 2)
+    assert set(table.configuration.routes) == {"new"}
+    shard = shard_of("judges")
+    assert first.client._offsets[0] == before[0] + 1 and first.client._offsets[shard] == before[shard] + 1
+
+
+def test_a_reader_of_changes_that_fails_does_not_end_the_feed(world, routers, caplog):
+    controller = world.controllers[0]
+    controller.put_config(configuration(5), 0)
+    router = Router(world)
+    routers.append(router)
+    router.wait(lambda table: table.version == 5)
+    seen = router.client.on_change
+
+    def fail_after(table: FleetTable, change: FleetChange) -> None:
+        seen(table, change)
+        raise ValueError("the reader's own fault")
+
+    router.client.on_change = fail_after
+    controller.put_config(configuration(6), 5)
+    router.wait(lambda table: table.version == 6)
+    controller.put_config(configuration(7), 6)
+    router.wait(lambda table: table.version == 7)
+    assert "the reader's own fault" in caplog.text
