--- /dev/null
+++ b/ochrespan/data_plane/attempt.py
@@ -0,0 +1,142 @@
+"""One attempt: a request is sent to one server, and its answer is read. Every end is told as an outcome."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from .connection_pool import ServerConnection, ServerPool
+from .deadlines import DeadlineHeap
+from .decisions import Outcome
+from .server_answer import AnswerGarbled, ServerAnswer
+from .wakeup import Wakeup
+from .watched_socket import ignore_event
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class AttemptEnded(Exception):
+    """The attempt has ended without a whole answer."""
+
+    def __init__(self, outcome: Outcome) -> None:
+        super().__init__(outcome.value)
+        self.outcome = outcome
+
+
+class Attempt:
+    """Runs in the greenlet of the request. `interruption` says why to stop: the client has gone, or time is over."""
+
+    __slots__ = ("answer", "sent_at", "_pool", "_deadlines", "_wakeup", "_interruption", "_connection", "_expired")
+
+    def __init__(
+        self, pool: ServerPool, deadlines: DeadlineHeap, wakeup: Wakeup, interruption: Callable[[], Outcome | None]
+    ) -> None:
+        self.answer: ServerAnswer | None = None
+        self.sent_at = 0.0
+        self._pool = pool
+        self._deadlines = deadlines
+        self._wakeup = wakeup
+        self._interruption = interruption
+        self._connection: ServerConnection | None = None
+        self._expired = False
+
+    def send(self, message: Callable[[], bytes], answer: ServerAnswer, unsafe: bool) -> None:
+        """Sends the request; raises AttemptEnded where its last byte was not written."""
+        self.answer = answer
+        self.sent_at = time.monotonic()
+        try:
+            connection = self._connect(unsafe)
+            self._write(connection, message())
+        except OSError as error:
+            raise AttemptEnded(Outcome.NOT_SENT) from error
+        connection.requests += 1
+
+    def receive(self) -> None:
+        """Waits for the next bytes of the answer and reads them; raises AttemptEnded."""
+        socket = self._connection.socket
+        while not socket.received:
+            if socket.ended:
+                raise AttemptEnded(Outcome.LOST)
+            if interruption := self._interruption():
+                raise AttemptEnded(interruption)
+            self._wakeup.wait()
+        try:
+            self.answer.receive(socket.take())
+        except AnswerGarbled as error:
+            raise AttemptEnded(Outcome.GARBLED) from error
+
+    def release(self) -> None:
+        """The answer is whole: its connection is kept where that is safe."""
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        connection.socket.on_event = ignore_event
+        if self.answer.reusable:
+            self._pool.give_back(connection, self.answer.keep_alive_s)
+        else:
+            self._pool.discard(connection)
+
+    def abandon(self) -> None:
+        """Closes the connection, which tells the server to stop."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            self._pool.discard(connection)
+
+    def _connect(self, unsafe: bool) -> ServerConnection:
+        connection = self._take_connection(unsafe)
+        connection.socket.on_event = self._wakeup.notify
+        self._connection = connection
+        if not connection.requests:
+            connection.socket.watch_writable()
+            self._wait(lambda: not connection.socket.waits_for_writable)
+            if error := connection.socket.connect_error():
+                raise OSError(error, "connection refused")
+        return connection
+
+    def _take_connection(self, unsafe: bool) -> ServerConnection:
+        pool = self._pool
+        connection = pool.take(unsafe)
+        if connection is not None:
+            return connection
+        pool.wait_for_room(self._wakeup)
+        try:
+            self._wait(lambda: pool.has_room)
+        finally:
+            pool.stop_waiting(self._wakeup)
+        connection = pool.take(unsafe)
+        if connection is None:
+            raise AttemptEnded(Outcome.NOT_SENT)
+        return connection
+
+    def _write(self, connection: ServerConnection, data: bytes) -> None:
+        socket = connection.socket
+        rest = memoryview(data)[socket.send_some(data) :]
+        while rest:
+            socket.watch_writable()
+            while socket.waits_for_writable:
+                if interruption := self._interruption():
+                    raise AttemptEnded(Outcome.CANCELLED if interruption is Outcome.CANCELLED else Outcome.NOT_SENT)
+                if socket.ended:
+                    raise AttemptEnded(Outcome.NOT_SENT)
+                self._wakeup.wait()
+            rest = rest[socket.send_some(rest) :]
+
+    def _wait(self, condition: Callable[[], bool]) -> None:
+        """Waits for `condition`; raises AttemptEnded where it takes too long to open a connection."""
+        if condition():
+            return
+        self._expired = False
+        deadline = self._deadlines.schedule(time.monotonic() + CONNECT_TIMEOUT_S, self._expire)
+        try:
+            while not condition():
+                if interruption := self._interruption():
+                    raise AttemptEnded(Outcome.CANCELLED if interruption is Outcome.CANCELLED else Outcome.NOT_SENT)
+                if self._expired:
+                    raise AttemptEnded(Outcome.NOT_SENT)
+                self._wakeup.wait()
+        finally:
+            deadline.cancel()
+
+    def _expire(self) -> None:
+        self._expired = True
+        self._wakeup.notify()
--- /dev/null
+++ b/ochrespan/data_plane/client_connection.py
@@ -0,0 +1,220 @@
+"""A client's connection: requests are read from it in order, answers are written, and its end is noticed at once."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .deadlines import DeadlineHeap
+from .request_head import (
+    BAD_REQUEST,
+    HEAD_TOO_LARGE,
+    TIMED_OUT,
+    TOO_LARGE,
+    ClientGone,
+    RequestHead,
+    RequestRefused,
+    parse_chunk_size,
+    parse_head,
+)
+from .wakeup import Wakeup
+from .watched_socket import WatchedSocket
+
+RECEIVED_BOUND = 256 * 1024  # bytes of pipelined requests that may wait
+MAX_CHUNK_LINE_BYTES = 4096
+MAX_TRAILER_BYTES = 16 * 1024
+LINGER_S = 1.0
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_HEAD_END = b"\r\n\r\n"
+
+
+@dataclass(frozen=True, slots=True)
+class ReadLimits:
+    """What a client may send, and how long it may take."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class ClientConnection:
+    """Owned by the greenlet that serves it; `wakeup` is where that greenlet waits."""
+
+    def __init__(self, sock: socket.socket, deadlines: DeadlineHeap) -> None:
+        self.wakeup = Wakeup()
+        self.answer_until = 0.0  # when the answer has to be written at the latest
+        self._deadlines = deadlines
+        self._socket = WatchedSocket(sock, RECEIVED_BOUND, self.wakeup.notify)
+        self._expired = False
+
+    @property
+    def gone(self) -> bool:
+        """Whether the connection has ended."""
+        return self._socket.ended or self._socket.closed
+
+    @property
+    def closed(self) -> bool:
+        return self._socket.closed
+
+    def read_head(self, limits: ReadLimits) -> RequestHead | None:
+        """The next request's head; None where the client has gone or sent nothing for the idle time-out."""
+        received = self._socket.received
+        if not self._wait_until(lambda: received, time.monotonic() + limits.idle_timeout_s):
+            return None
+        return self._read_started_head(limits)
+
+    def read_body(self, head: RequestHead, limits: ReadLimits) -> bytes:
+        """The whole body; raises RequestRefused or ClientGone."""
+        if head.content_length is not None and head.content_length > limits.max_body_bytes:
+            raise RequestRefused(TOO_LARGE, "body", f"{head.content_length} bytes", f"{limits.max_body_bytes} bytes")
+        if not head.chunked and not head.content_length:
+            return b""
+        if head.expects_continue and not self._socket.received:
+            self.write(_CONTINUE, time.monotonic() + limits.idle_timeout_s)
+        if head.chunked:
+            return self._read_chunks(limits)
+        return self._read_exactly(head.content_length, limits)
+
+    def write(self, data: bytes | bytearray, until: float) -> None:
+        """Sends all of `data`; raises ClientGone, or TimeoutError once `until` has passed."""
+        try:
+            sent = self._socket.send_some(data)
+            if sent < len(data):
+                self._write_rest(memoryview(data)[sent:], until)
+        except OSError as error:
+            if isinstance(error, TimeoutError):
+                raise
+            raise ClientGone(str(error)) from error
+
+    def close(self) -> None:
+        self._socket.close()
+
+    def end(self) -> None:
+        """Closes the connection under the greenlet that serves it."""
+        self._socket.close()
+        self.wakeup.notify()
+
+    def reset(self) -> None:
+        """Ends an answer so that it cannot look complete."""
+        self._socket.reset()
+
+    def linger_and_close(self) -> None:
+        """Closes after the client has had time to read the last answer, whatever it still sends."""
+        self._socket.shutdown_write()
+        until = time.monotonic() + LINGER_S
+        while not self._socket.ended and self._wait_until(lambda: self._socket.received, until):
+            self._socket.take()
+        self._socket.close()
+
+    def _read_started_head(self, limits: ReadLimits) -> RequestHead | None:
+        received = self._socket.received
+        searched = 0
+        until = time.monotonic() + limits.header_timeout_s
+        while True:
+            while received.startswith(b"\r\n"):  # an empty line before a request is allowed
+                del received[:2]
+                searched = 0
+            end = received.find(_HEAD_END, max(0, searched - len(_HEAD_END)))
+            if end >= 0:
+                break
+            searched = len(received)
+            if searched > limits.max_header_bytes:
+                self._refuse_head(limits)
+            if not self._wait_until(lambda size=searched: len(received) > size, until):
+                if self._socket.ended:
+                    return None
+                raise RequestRefused(TIMED_OUT, "head", "no end in time", f"{limits.header_timeout_s:g} s")
+        if end + len(_HEAD_END) > limits.max_header_bytes:
+            self._refuse_head(limits)
+        head = bytes(received[:end])
+        self._consume(end + len(_HEAD_END))
+        return parse_head(head)
+
+    def _refuse_head(self, limits: ReadLimits) -> None:
+        raise RequestRefused(HEAD_TOO_LARGE, "head", "more", f"{limits.max_header_bytes} bytes")
+
+    def _read_exactly(self, size: int, limits: ReadLimits) -> bytes:
+        received = self._socket.received
+        if len(received) >= size:
+            data = bytes(received[:size])
+            self._consume(size)
+            return data
+        parts = bytearray()
+        while len(parts) < size:
+            self._await_more(lambda: received, limits)
+            part = received[: size - len(parts)]
+            parts += part
+            self._consume(len(part))
+        return bytes(parts)
+
+    def _read_chunks(self, limits: ReadLimits) -> bytes:
+        body = bytearray()
+        while size := parse_chunk_size(self._read_line(MAX_CHUNK_LINE_BYTES, limits)):
+            if len(body) + size > limits.max_body_bytes:
+                raise RequestRefused(TOO_LARGE, "body", "more", f"{limits.max_body_bytes} bytes")
+            body += self._read_exactly(size, limits)
+            if self._read_exactly(2, limits) != b"\r\n":
+                raise RequestRefused(BAD_REQUEST, "chunk", "more bytes than its size", "a line end behind it")
+        self._skip_trailers(limits)
+        return bytes(body)
+
+    def _skip_trailers(self, limits: ReadLimits) -> None:
+        room = MAX_TRAILER_BYTES
+        while line := self._read_line(room, limits):
+            room -= len(line)
+            if b":" not in line or line[:1] in b" \t":
+                raise RequestRefused(BAD_REQUEST, "trailer", repr(line[:40]), "a header")
+
+    def _read_line(self, bound: int, limits: ReadLimits) -> bytes:
+        received = self._socket.received
+        while (end := received.find(b"\r\n")) < 0:
+            size = len(received)
+            if size > bound:
+                break
+            self._await_more(lambda size=size: len(received) > size, limits)
+        if end < 0 or end > bound:
+            raise RequestRefused(BAD_REQUEST, "line of a chunked body", "more", f"{bound} bytes")
+        line = bytes(received[:end])
+        self._consume(end + 2)
+        return line
+
+    def _await_more(self, arrived: Callable[[], object], limits: ReadLimits) -> None:
+        if not self._wait_until(arrived, time.monotonic() + limits.idle_timeout_s):
+            if self._socket.ended:
+                raise ClientGone("within a body")
+            raise RequestRefused(TIMED_OUT, "body", "no bytes in time", f"{limits.idle_timeout_s:g} s")
+
+    def _consume(self, size: int) -> None:
+        del self._socket.received[:size]
+        self._socket.resume()
+
+    def _write_rest(self, rest: memoryview, until: float) -> None:
+        while rest:
+            self._socket.watch_writable()
+            if not self._wait_until(lambda: not self._socket.waits_for_writable, until):
+                if self._socket.ended:
+                    raise ClientGone("while an answer was written")
+                raise TimeoutError("the client reads too slowly")
+            rest = rest[self._socket.send_some(rest) :]
+
+    def _wait_until(self, condition: Callable[[], object], until: float) -> bool:
+        """Whether the condition came true before the client had gone and before `until`."""
+        if condition():
+            return True
+        self._expired = False
+        deadline = self._deadlines.schedule(until, self._expire)
+        try:
+            while not self._socket.ended and not self._expired and not self._socket.closed:
+                self.wakeup.wait()
+                if condition():
+                    return True
+            return False
+        finally:
+            deadline.cancel()
+
+    def _expire(self) -> None:
+        self._expired = True
+        self.wakeup.notify()
--- /dev/null
+++ b/ochrespan/data_plane/connection_pool.py
@@ -0,0 +1,161 @@
+"""Connections to servers, kept for reuse: bounded for each server, and closed before the server closes them."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import socket
+import time
+
+from .deadlines import Deadline, DeadlineHeap
+from .wakeup import Wakeup
+from .watched_socket import WatchedSocket, ignore_event
+
+Address = tuple[str, int]
+
+RECEIVED_BOUND = 256 * 1024  # bytes of an answer that may wait for a slow client
+DEFAULT_KEEP_ALIVE_S = 4.0  # where a server does not say how long it keeps an idle connection
+KEEP_ALIVE_MARGIN_S = 1.0  # an idle connection is closed this much before the server would do it
+SHORT_KEEP_ALIVE_SHARE = 0.5  # of a time-out that leaves no room for the margin
+FRESH_SHARE = 0.5  # of the time that a connection is kept, in which an unsafe request may use it
+USER_TIMEOUT_MS = 6000  # unacknowledged data ends a connection after this long
+KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_PROBES = 2, 2, 2
+
+
+class ServerConnection:
+    """A connection to one server, which carries one request at a time."""
+
+    __slots__ = ("socket", "requests", "idle_since", "kept_until")
+
+    def __init__(self, address: Address) -> None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            _set_options(sock)
+            error = sock.connect_ex(address)
+            if error not in (0, errno.EINPROGRESS):
+                raise OSError(error, "connection refused")
+        except OSError:
+            sock.close()
+            raise
+        self.socket = WatchedSocket(sock, RECEIVED_BOUND)
+        self.requests = 0
+        self.idle_since = 0.0
+        self.kept_until = 0.0
+
+    def is_usable(self, now: float, unsafe: bool) -> bool:
+        """Whether the server surely still waits for a request here; a request that must not run twice asks for more."""
+        kept_until = self.kept_until
+        if unsafe:
+            kept_until = self.idle_since + FRESH_SHARE * (kept_until - self.idle_since)
+        if now >= kept_until:
+            return False
+        self.socket.poll()
+        return not self.socket.ended and not self.socket.received
+
+
+class ServerPool:
+    """The connections to one server."""
+
+    def __init__(self, address: Address, limit: int, deadlines: DeadlineHeap) -> None:
+        self.address = address
+        self.limit = max(1, limit)
+        self.open = 0  # idle ones and those in use
+        self.closed = False
+        self._deadlines = deadlines
+        self._idle: list[ServerConnection] = []  # the one that was used last stands last
+        self._expiry: Deadline | None = None
+        self._waiting: list[Wakeup] = []
+
+    @property
+    def has_room(self) -> bool:
+        """Whether `take` may succeed."""
+        return bool(self._idle) or self.open < self.limit
+
+    def take(self, unsafe: bool) -> ServerConnection | None:
+        """An idle connection, or a new one that is still being opened; None where the limit is reached.
+
+        Raises OSError where the address cannot be reached at all.
+        """
+        now = time.monotonic()
+        while self._idle:
+            connection = self._idle.pop()
+            connection.socket.on_event = ignore_event
+            if connection.is_usable(now, unsafe):
+                return connection
+            self.discard(connection)
+        if self.open >= self.limit:
+            return None
+        connection = ServerConnection(self.address)
+        self.open += 1
+        return connection
+
+    def give_back(self, connection: ServerConnection, keep_alive_s: float | None) -> None:
+        """The connection has carried a whole answer and may be used again."""
+        if self.closed or connection.socket.ended or connection.socket.received or self.open > self.limit:
+            self.discard(connection)
+            return
+        now = time.monotonic()
+        connection.idle_since = now
+        connection.kept_until = now + _time_to_keep(keep_alive_s)
+        connection.socket.on_event = lambda: self._drop_idle(connection)
+        self._idle.append(connection)
+        if self._expiry is None:
+            self._expiry = self._deadlines.schedule(connection.kept_until, self._close_expired)
+        self._wake_next()
+
+    def discard(self, connection: ServerConnection) -> None:
+        """Closes a connection that was taken."""
+        if not connection.socket.closed:
+            connection.socket.close()
+            self.open -= 1
+            self._wake_next()
+
+    def close(self) -> None:
+        """Closes what is idle, now and when it is given back."""
+        self.closed = True
+        while self._idle:
+            self.discard(self._idle.pop())
+        if self._expiry is not None:
+            self._expiry.cancel()
+
+    def wait_for_room(self, wakeup: Wakeup) -> None:
+        """`wakeup` is told once `take` may succeed."""
+        self._waiting.append(wakeup)
+
+    def stop_waiting(self, wakeup: Wakeup) -> None:
+        with contextlib.suppress(ValueError):
+            self._waiting.remove(wakeup)
+
+    def _wake_next(self) -> None:
+        if self._waiting:
+            self._waiting.pop(0).notify()
+
+    def _drop_idle(self, connection: ServerConnection) -> None:
+        """An idle connection has ended, or bytes that belong to no request have come."""
+        self._idle.remove(connection)
+        self.discard(connection)
+
+    def _close_expired(self) -> None:
+        self._expiry = None
+        now = time.monotonic()
+        for connection in [idle for idle in self._idle if idle.kept_until <= now]:
+            self._drop_idle(connection)
+        if self._idle:
+            earliest = min(connection.kept_until for connection in self._idle)
+            self._expiry = self._deadlines.schedule(earliest, self._close_expired)
+
+
+def _time_to_keep(keep_alive_s: float | None) -> float:
+    told = DEFAULT_KEEP_ALIVE_S if keep_alive_s is None else keep_alive_s
+    return max(told - KEEP_ALIVE_MARGIN_S, told * SHORT_KEEP_ALIVE_SHARE)
+
+
+def _set_options(sock: socket.socket) -> None:
+    """Small messages leave at once, and a machine that has gone is noticed though it says nothing."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- /dev/null
+++ b/ochrespan/data_plane/dispatcher.py
@@ -0,0 +1,91 @@
+"""Between the scheduler, which has no sockets, and the exchanges: hands events over and actions to their owners."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterable
+from typing import Protocol
+
+from .deadlines import Deadline, DeadlineHeap
+from .decisions import Action, Outcome, Request, Server
+
+EARLIEST_TICK_S = 0.001
+
+
+class SchedulerLike(Protocol):
+    """What is used of `scheduler.Scheduler`."""
+
+    def set_servers(self, now: float, servers: list[Server], routers: int, rank: int) -> list[Action]: ...
+    def submit(self, now: float, request: Request) -> list[Action]: ...
+    def cancel(self, now: float, request_id: str) -> list[Action]: ...
+    def first_event(self, now: float, request_id: str, latency_s: float) -> None: ...
+    def ended(self, now: float, request_id: str, outcome: Outcome) -> list[Action]: ...
+    def tick(self, now: float) -> list[Action]: ...
+    def next_tick(self, now: float) -> float: ...
+
+
+class DecisionTaker(Protocol):
+    """Whoever waits for the scheduler's decisions about a request."""
+
+    def decide(self, action: Action) -> None: ...
+
+
+class Dispatcher:
+    """Owns the scheduler. Each request is known here from `submit` to `close`."""
+
+    def __init__(self, scheduler: SchedulerLike, deadlines: DeadlineHeap) -> None:
+        self._scheduler = scheduler
+        self._deadlines = deadlines
+        self._takers: dict[str, DecisionTaker] = {}
+        self._tick: Deadline | None = None
+        self._tick_at = float("inf")
+
+    @property
+    def running(self) -> int:
+        """The number of requests that are known."""
+        return len(self._takers)
+
+    def set_servers(self, servers: list[Server], routers: int, rank: int) -> None:
+        now = time.monotonic()
+        self._apply(now, self._scheduler.set_servers(now, servers, routers, rank))
+
+    def submit(self, request: Request, taker: DecisionTaker) -> None:
+        self._takers[request.id] = taker
+        now = time.monotonic()
+        self._apply(now, self._scheduler.submit(now, request))
+
+    def first_event(self, request_id: str, latency_s: float) -> None:
+        self._scheduler.first_event(time.monotonic(), request_id, latency_s)
+
+    def ended(self, request_id: str, outcome: Outcome) -> None:
+        now = time.monotonic()
+        self._apply(now, self._scheduler.ended(now, request_id, outcome))
+
+    def cancel(self, request_id: str) -> None:
+        """The request is over for the client; a request that has ended already is no error."""
+        now = time.monotonic()
+        self._apply(now, self._scheduler.cancel(now, request_id))
+
+    def close(self, request_id: str) -> None:
+        """The request is over, whether the scheduler knows it or not; no decision about it is told any more."""
+        if self._takers.pop(request_id, None) is not None:
+            self.cancel(request_id)
+
+    def _apply(self, now: float, actions: Iterable[Action]) -> None:
+        for action in actions:
+            if taker := self._takers.get(action.request_id):
+                taker.decide(action)
+        self._plan_tick(now)
+
+    def _plan_tick(self, now: float) -> None:
+        at = self._scheduler.next_tick(now)
+        if at < self._tick_at:
+            if self._tick is not None:
+                self._tick.cancel()
+            self._tick_at = at
+            self._tick = self._deadlines.schedule(max(at, now + EARLIEST_TICK_S), self._run_tick)
+
+    def _run_tick(self) -> None:
+        self._tick, self._tick_at = None, float("inf")
+        now = time.monotonic()
+        self._apply(now, self._scheduler.tick(now))
--- /dev/null
+++ b/ochrespan/data_plane/front.py
@@ -0,0 +1,144 @@
+"""The WSGI application for clients: reads a request whole, finds its route and tenant, and starts its exchange."""
+
+from __future__ import annotations
+
+import itertools
+import logging
+import re
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from .client_connection import ClientConnection, ReadLimits
+from .decisions import Request
+from .exchange import Exchange, ExchangeTools
+from .own_answers import OwnAnswer, StartResponse
+from .request_head import BAD_REQUEST, RequestHead, RequestRefused
+from .routing_table import RouteEntry, RoutingTable
+from .server_request import ServerRequest
+
+log = logging.getLogger(__name__)
+
+CONNECTION_KEY, HEAD_KEY = "ochrespan.connection", "ochrespan.head"  # in the WSGI environment
+DEFAULT_LIMITS = ReadLimits(16 * 1024, 4 * 1024 * 1024, 3.0, 15.0)
+NOT_READY_RETRY_AFTER_S = 1.0
+STALE_RETRY_AFTER_S = 0.5
+ROUTE_RANKS = 1000  # a tenant's priority counts before its route's
+ANSWER_GRACE_S = 0.5  # beyond a request's deadline, for the end of its answer to be written
+LONGEST_DEADLINE_MS = 24 * 3600 * 1000.0
+_MILLISECONDS = re.compile(r"[0-9]{1,12}(\.[0-9]{1,6})?")
+_TOKEN_USAGE = re.compile(r"([0-9]{1,12}), ?([0-9]{1,12})")
+_PROMPT_PART = re.compile(r"([0-9A-Fa-f]{1,32}):([0-9]{1,12})")
+
+
+class Front:
+    """Serves by the table in force, which is replaced whole. `is_fresh` tells whether the table surely is current."""
+
+    def __init__(self, tools: ExchangeTools, is_fresh: Callable[[], bool]) -> None:
+        self._tools = tools
+        self._is_fresh = is_fresh
+        self._numbers = itertools.count(1)
+        self.table: RoutingTable | None = None
+
+    @property
+    def limits(self) -> ReadLimits:
+        """The limits in force."""
+        return self.table.limits if self.table is not None else DEFAULT_LIMITS
+
+    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        client: ClientConnection = environ[CONNECTION_KEY]
+        head: RequestHead = environ[HEAD_KEY]
+        arrived = time.monotonic()
+        body = client.read_body(head, self.limits)
+        found = self._admit(client, head, body, arrived)
+        return found.respond(start_response)
+
+    def _admit(self, client: ClientConnection, head: RequestHead, body: bytes, arrived: float) -> Exchange | OwnAnswer:
+        table = self.table
+        request_id = _only_value(head, "x-request-id")
+        if request_id is None:
+            raise RequestRefused(BAD_REQUEST, "X-Request-Id", "nothing", "one id")
+        if table is None:
+            return OwnAnswer(503, "no configuration yet", request_id, NOT_READY_RETRY_AFTER_S)
+        entry = table.find(head.host, head.path)
+        if entry is None:
+            return self._deny(404, "no such route", request_id)
+        tenant = None
+        if table.has_tenants:
+            key = _only_value(head, "x-credential")
+            tenant = table.tenant_of(key) if key is not None else None
+            if tenant is None and not entry.route.public:
+                return self._deny(401, "a key that is not known" if key else "no key", request_id)
+        request = self._request(head, request_id, entry, tenant, arrived)
+        client.answer_until = request.deadline + ANSWER_GRACE_S
+        server_request = ServerRequest(head, request_id, body, tenant.name if tenant else None)
+        return Exchange(self._tools, client, request, server_request)
+
+    def _deny(self, status: int, text: str, request_id: str) -> OwnAnswer:
+        """A denial; where the table may be old, the client is told to come back instead."""
+        if self._is_fresh():
+            return OwnAnswer(status, text, request_id)
+        return OwnAnswer(503, f"{text}, as far as is known", request_id, STALE_RETRY_AFTER_S)
+
+    def _request(self, head: RequestHead, request_id: str, entry: RouteEntry, tenant: Any, arrived: float) -> Request:
+        route = entry.route
+        streaming = route.route_type == "streaming"
+        tokens_in, tokens_out = _token_usage(head)
+        timeout_ms = min(route.timeout_ms, _deadline_ms(head))
+        aim_ms = route.target_latency_ms or route.timeout_ms
+        return Request(
+            id=str(next(self._numbers)),
+            service=entry.service_for(request_id),
+            tenant=tenant.name if tenant else "",
+            route=route.name,
+            priority=(tenant.priority * ROUTE_RANKS if tenant else 0) + route.priority,
+            safe=route.route_type == "safe",
+            resumable=streaming and route.resumable,
+            streaming=streaming,
+            aim=aim_ms / 1000,
+            deadline=arrived + timeout_ms / 1000,
+            max_servers=max(1, route.max_retries),
+            tokens_in=tokens_in,
+            tokens_out=tokens_out,
+            prefix=_prompt_prefix(head) if route.session_affinity else (),
+            arrived=arrived,
+        )
+
+
+def _only_value(head: RequestHead, name: str) -> str | None:
+    values = head.values(name)
+    if len(values) > 1:
+        raise RequestRefused(BAD_REQUEST, name, f"{len(values)} headers", "one")
+    return values[0] if values and values[0] else None
+
+
+def _deadline_ms(head: RequestHead) -> float:
+    text = _only_value(head, "x-deadline-ms")
+    if text is None:
+        return LONGEST_DEADLINE_MS
+    if not _MILLISECONDS.fullmatch(text):
+        raise RequestRefused(BAD_REQUEST, "X-Deadline-Ms", repr(text[:40]), "a number of milliseconds")
+    return float(text)
+
+
+def _token_usage(head: RequestHead) -> tuple[int, int]:
+    text = _only_value(head, "x-token-usage")
+    if text is None:
+        return 0, 0
+    found = _TOKEN_USAGE.fullmatch(text)
+    if found is None:
+        raise RequestRefused(BAD_REQUEST, "X-Token-Usage", repr(text[:40]), "two whole numbers, split by a comma")
+    return int(found[1]), int(found[2])
+
+
+def _prompt_prefix(head: RequestHead) -> tuple[tuple[str, int], ...]:
+    text = _only_value(head, "x-prompt-prefix")
+    if text is None:
+        return ()
+    parts = []
+    for part in text.split(","):
+        found = _PROMPT_PART.fullmatch(part.strip())
+        if found is None:
+            raise RequestRefused(BAD_REQUEST, "X-Prompt-Prefix", repr(part[:40]), "ID:TOKENS, with the ID in hex")
+        parts.append((found[1].lower(), int(found[2])))
+    return tuple(parts)
--- /dev/null
+++ b/ochrespan/data_plane/ingress.py
@@ -0,0 +1,249 @@
+"""gevent's WSGI server, fitted to a router that faces clients directly.
+
+gevent.pywsgi accepts, keeps the order of pipelined requests, calls the application, and frames answers. It is too
+little here in these points, where the handler takes its place:
+
+- it reads heads leniently and drops duplicates; `request_head` reads them strictly and keeps them as they came;
+- it has no bounds on sizes and times; `client_connection` has;
+- it does not notice that a client has gone while the application waits; the connection's socket is watched;
+- it does not tell clients how long an idle connection lasts, nor that it will close one;
+- it ends an answer that failed half-way as if it were whole, or with a second head; here the connection just ends.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import socket
+import time
+from collections import OrderedDict
+from typing import Any
+
+import gevent
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from .client_connection import ClientConnection
+from .deadlines import DeadlineHeap
+from .exchange import AnswerBroken
+from .front import CONNECTION_KEY, HEAD_KEY, Front
+from .own_answers import OwnAnswer
+from .request_head import ClientGone, RequestHead, RequestRefused
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 1024
+KEEP_ALIVE_SHARE = 0.8  # of the idle time-out, which is what clients may count on
+JOINED_WRITE_BYTES = 64 * 1024  # a body up to this size is written together with its head
+
+
+class _NoInput:
+    """The body is read by the application before anything else, so there is nothing to throw away."""
+
+    def _discard(self) -> None:
+        """Called by the library after the application."""
+
+
+class IngressHandler(WSGIHandler):
+    """Serves the requests of one connection."""
+
+    server: IngressServer
+
+    def __init__(self, sock: Any, address: Any, server: IngressServer) -> None:
+        raw = socket.socket(fileno=sock.detach())
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.connection = ClientConnection(raw, server.deadlines)
+        self.socket = self.connection
+        self.client_address = address
+        self.server = server
+        self.rfile = self.connection
+
+    def handle(self) -> None:
+        """Answers requests until the connection is to end."""
+        connection, server = self.connection, self.server
+        server.connection_opened(connection)
+        try:
+            while self._handle_next():
+                server.connection_rests(connection)
+        finally:
+            server.connection_closed(connection)
+            connection.close()
+
+    def _handle_next(self) -> bool:
+        """Whether the connection may carry a further request."""
+        connection = self.connection
+        try:
+            self.head = connection.read_head(self.server.front.limits)
+            if self.head is None:
+                return False
+            self.server.connection_busy(connection)
+            self._take_head(self.head)
+            self.environ = self.get_environ()
+            self.application = self.server.application
+            self.handle_one_response()
+            return not self.close_connection and not connection.closed
+        except RequestRefused as refused:
+            self._refuse(refused)
+            return False
+        except (ClientGone, TimeoutError):
+            return False
+
+    def _take_head(self, head: RequestHead) -> None:
+        """What the library's own reading would have set."""
+        self.command, self.path, self.request_version = head.method, head.target, head.version
+        self.requestline = f"{head.method} {head.target} {head.version}"
+        self.close_connection = not head.keep_alive
+        self.content_length = head.content_length
+        self.wsgi_input = _NoInput()
+        self.connection.answer_until = time.monotonic() + self.server.front.limits.idle_timeout_s
+
+    def get_environ(self) -> dict[str, Any]:
+        environ = self.server.get_environ()
+        environ["REQUEST_METHOD"] = self.command
+        environ["PATH_INFO"] = self.head.path
+        environ["SERVER_PROTOCOL"] = self.request_version
+        environ["wsgi.input"] = self.wsgi_input
+        environ[CONNECTION_KEY] = self.connection
+        environ[HEAD_KEY] = self.head
+        return environ
+
+    def finalize_headers(self) -> None:
+        super().finalize_headers()
+        if self.command == "HEAD" or self.code in (204, 304):
+            self.response_use_chunked = False
+        if self.server.draining or not self._has_length():
+            self.close_connection = True
+        if self.close_connection:
+            self.response_headers.append((b"Connection", b"close"))
+        else:
+            self.response_headers.append((b"Keep-Alive", self.server.keep_alive_value))
+
+    def _write_with_headers(self, data: bytes) -> None:
+        """Writes head and first piece at once."""
+        self.headers_sent = True
+        self.finalize_headers()
+        lines = [b"HTTP/1.1 " + self.status]
+        lines += [name + b": " + value for name, value in self.response_headers]
+        head = b"\r\n".join(lines) + b"\r\n\r\n"
+        if self.command == "HEAD":
+            data = b""
+        if self.response_use_chunked and data:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        if len(data) <= JOINED_WRITE_BYTES:
+            self._sendall(head + data)
+        else:
+            self._sendall(head)
+            self._sendall(data)
+
+    def _sendall(self, data: bytes | bytearray) -> None:
+        self.connection.write(data, self.connection.answer_until)
+        self.response_length += len(data)
+
+    def handle_error(self, t: Any, v: Any, tb: Any) -> None:
+        """An exception of the application."""
+        self.close_connection = True
+        if isinstance(v, RequestRefused) and not self.headers_sent:
+            self._refuse(v)
+        elif isinstance(v, ClientGone | TimeoutError):
+            self.connection.close()
+        elif isinstance(v, AnswerBroken):
+            log.info("answer broken off path=%s reason=%s", self.path, v)
+            self._break_off()
+        else:
+            log.error("request failed path=%s", self.path, exc_info=(t, v, tb))
+            if self.headers_sent:
+                self._break_off()
+            else:
+                self._answer(OwnAnswer(500, "internal error"))
+
+    def log_request(self) -> None:
+        """Requests are not logged one by one: that costs more than serving them."""
+
+    def _has_length(self) -> bool:
+        """Whether the client can tell the end of the answer from an early end of the connection."""
+        return self.response_use_chunked or any(name.lower() == b"content-length" for name, _ in self.response_headers)
+
+    def _break_off(self) -> None:
+        """Closes the connection within an answer, so that it cannot look complete."""
+        if self._has_length():
+            self.connection.close()
+        else:
+            self.connection.reset()
+
+    def _refuse(self, refused: RequestRefused) -> None:
+        """Answers a request that could not be read, and closes: what follows it could be anything."""
+        self._answer(OwnAnswer(refused.status, str(refused)))
+        self.connection.linger_and_close()
+
+    def _answer(self, answer: OwnAnswer) -> None:
+        self.command, self.request_version, self.close_connection = "GET", "HTTP/1.1", True
+        self.headers_sent, self.response_use_chunked, self.response_length = False, False, 0
+        with contextlib.suppress(ClientGone, TimeoutError):
+            self.result = answer.respond(self.start_response)
+            self.process_result()
+        self.result = None
+
+
+class IngressServer(WSGIServer):
+    """Accepts clients' connections, up to a bound, and knows which of them rest."""
+
+    handler_class = IngressHandler
+
+    def __init__(self, listener: Any, front: Front, deadlines: DeadlineHeap, max_connections: int) -> None:
+        environment = {"SERVER_NAME": "router"}  # else the library would look the name up
+        super().__init__(listener, front, log=None, error_log=None, environ=environment, backlog=BACKLOG)
+        self.front = front
+        self.deadlines = deadlines
+        self.max_connections = max_connections
+        self.draining = False
+        self._resting: OrderedDict[ClientConnection, None] = OrderedDict()  # longest first
+        self._open: set[ClientConnection] = set()
+
+    @property
+    def open_connections(self) -> int:
+        return len(self._open)
+
+    @property
+    def busy_connections(self) -> int:
+        return len(self._open) - len(self._resting)
+
+    @property
+    def keep_alive_value(self) -> bytes:
+        return b"timeout=%d" % max(1, int(self.front.limits.idle_timeout_s * KEEP_ALIVE_SHARE))
+
+    def connection_opened(self, connection: ClientConnection) -> None:
+        self._open.add(connection)
+        self._resting[connection] = None
+        if len(self._open) > self.max_connections:
+            self._end_resting(next(iter(self._resting)))
+
+    def connection_rests(self, connection: ClientConnection) -> None:
+        self._resting[connection] = None
+        if self.draining:
+            self._end_resting(connection)
+
+    def connection_busy(self, connection: ClientConnection) -> None:
+        self._resting.pop(connection, None)
+
+    def connection_closed(self, connection: ClientConnection) -> None:
+        self._open.discard(connection)
+        self._resting.pop(connection, None)
+
+    def drain(self) -> None:
+        """Answers carry `Connection: close` from now on, and connections that rest are closed."""
+        self.draining = True
+        for connection in list(self._resting):
+            self._end_resting(connection)
+
+    def break_off(self) -> None:
+        """Closes all connections, whatever they carry."""
+        for connection in list(self._open):
+            connection.end()
+
+    def _end_resting(self, connection: ClientConnection) -> None:
+        self._resting.pop(connection, None)
+        connection.end()
+
+
+def listen(address: tuple[str, int]) -> Any:
+    """A listening socket that a restarted process can open at once."""
+    return gevent.server.StreamServer.get_listener(address, backlog=BACKLOG)
--- /dev/null
+++ b/ochrespan/data_plane/own_answers.py
@@ -0,0 +1,40 @@
+"""Answers that the router gives by itself."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from .decisions import Fail, Refuse
+
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
+
+@dataclass(frozen=True, slots=True)
+class OwnAnswer:
+    """A status with a line of text; `retry_after` in seconds where the request has not run and may come back."""
+
+    status: int
+    text: str
+    request_id: str | None = None
+    retry_after: float | None = None
+
+    def respond(self, start_response: StartResponse) -> Iterable[bytes]:
+        """The answer as a WSGI result."""
+        body = f"{self.text}\n".encode()
+        headers = [("Content-Type", "text/plain; charset=utf-8"), ("Content-Length", str(len(body)))]
+        if self.request_id is not None:
+            headers.append(("X-Request-Id", self.request_id))
+        if self.retry_after is not None:
+            headers.append(("Retry-After", f"{max(self.retry_after, 0.0):.3f}"))
+        start_response(f"{self.status} {HTTPStatus(self.status).phrase}", headers)
+        return [body]
+
+
+def answer_for(decision: Refuse | Fail, request_id: str) -> OwnAnswer:
+    """The answer that tells a client what the scheduler has decided."""
+    if isinstance(decision, Refuse):
+        text = "over the tenant's quota" if decision.status == HTTPStatus.TOO_MANY_REQUESTS else "not run"
+        return OwnAnswer(decision.status, text, request_id, decision.retry_after)
+    return OwnAnswer(decision.status, "no whole answer from a server", request_id)
--- /dev/null
+++ b/ochrespan/data_plane/router_node.py
@@ -0,0 +1,121 @@
+"""The data plane of one router, put together: the table from the feed, the scheduler, and the ingress."""
+
+from __future__ import annotations
+
+import logging
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import gevent
+
+from ..transport.tcp import Address, parse_address
+from .deadlines import DeadlineHeap
+from .decisions import Server
+from .dispatcher import Dispatcher, SchedulerLike
+from .exchange import ExchangeTools
+from .front import Front
+from .ingress import IngressServer
+from .readiness import ReadinessServer
+from .routing_table import RoutingTable
+from .server_pools import ServerPools
+
+if TYPE_CHECKING:
+    from ..control_plane.feed_client import FeedClient
+    from ..control_plane.fleet_table import FleetChange, FleetTable
+
+log = logging.getLogger(__name__)
+
+KEPT_DESCRIPTORS = 264  # of the limit: files, listening sockets, the feed
+CLIENT_SHARE = 0.5  # of the other descriptors; the rest is for connections to servers
+DRAINING = "draining"
+
+
+@dataclass(frozen=True, slots=True)
+class DrainTimes:
+    """Seconds from SIGTERM."""
+
+    serve_on: float  # the platform sends new connections until it has missed the readiness twice
+    give_up: float  # what still runs is broken off
+
+    @classmethod
+    def within(cls, grace_s: float) -> DrainTimes:
+        """Times that leave room to end before the platform kills the process."""
+        give_up = grace_s - min(0.7, 0.2 * grace_s)
+        return cls(min(2.5, 0.4 * give_up), give_up)
+
+
+class RouterNode:
+    """Serves clients by the latest table. `feed` is given once it exists, since it calls `table_changed`."""
+
+    def __init__(self, front: Address, ready: Address, max_descriptors: int, scheduler: SchedulerLike) -> None:
+        deadlines = DeadlineHeap(gevent.get_hub().loop)
+        self._dispatcher = Dispatcher(scheduler, deadlines)
+        self._pools = ServerPools(deadlines)
+        self._front = Front(ExchangeTools(self._dispatcher, self._pools, deadlines), self._table_is_fresh)
+        max_clients = max(16, int((max_descriptors - KEPT_DESCRIPTORS) * CLIENT_SHARE))
+        self._ingress = IngressServer(front, self._front, deadlines, max_clients)
+        self._readiness = ReadinessServer(ready, self.is_ready)
+        self._stopping = False
+        self.feed: FeedClient | None = None
+
+    def start(self) -> None:
+        """Begins to listen; requests are refused until there is a table."""
+        self._readiness.start()
+        self._ingress.start()
+
+    def is_ready(self) -> bool:
+        """Whether new connections are welcome: with a table, until the process is told to stop."""
+        return self._front.table is not None and not self._stopping
+
+    def table_changed(self, table: FleetTable, change: FleetChange) -> None:
+        """Takes over a new table."""
+        if self._front.table is None or change.routes or change.tenants or change.limits:
+            self._front.table = RoutingTable(table.configuration)
+            log.info("configuration in force version=%d routes=%d", table.version, len(table.configuration.routes))
+        if change.instances or change.services or change.routers:
+            servers = list_servers(table)
+            self._pools.set_servers(servers, table.router_count)
+            self._dispatcher.set_servers(servers, table.router_count, table.router_rank)
+
+    def drain(self, times: DrainTimes) -> None:
+        """Stops being ready, serves on for a while, lets what runs end, and closes everything in time."""
+        started = time.monotonic()
+        self._stopping = True
+        log.info("stopping requests=%d connections=%d", self._dispatcher.running, self._ingress.open_connections)
+        gevent.sleep(times.serve_on)
+        self._ingress.drain()
+        self._ingress.close()
+        while self._ingress.open_connections and time.monotonic() < started + times.give_up:
+            gevent.sleep(0.05)
+        log.info("stopped requests=%d connections=%d", self._dispatcher.running, self._ingress.open_connections)
+        self._ingress.break_off()
+        self._pools.close()
+        gevent.sleep(0)  # requests that were broken off tell their servers
+        self._readiness.close()
+
+    def _table_is_fresh(self) -> bool:
+        return self.feed is None or self.feed.controller is not None
+
+
+def list_servers(table: FleetTable) -> list[Server]:
+    """All servers of the table as the scheduler knows them."""
+    servers = []
+    for name, instances in table.instances.items():
+        service = table.configuration.services.get(name)
+        runtime = service.runtime if service is not None else {}
+        for instance in instances.values():
+            servers.append(
+                Server(
+                    id=instance.id,
+                    service=name,
+                    address=parse_address(instance.address),
+                    zone=instance.zone,
+                    capacity=instance.capacity or runtime.get("capacity") or 1,
+                    kv_tokens=runtime.get("kv_tokens") or 0,
+                    draining=instance.state == DRAINING,
+                    cold_until=instance.cold_until,
+                    max_connections=(service.max_connections if service is not None else 0) or 0,
+                )
+            )
+    return servers
--- /dev/null
+++ b/ochrespan/data_plane/routing_table.py
@@ -0,0 +1,99 @@
+"""The routes, keys and limits of one configuration, indexed for look-ups. A new configuration makes a new table."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from .client_connection import ReadLimits
+
+if TYPE_CHECKING:
+    from ..control_plane.views import ConfigurationView, Route, Tenant
+
+_SPLIT_STEPS = 1 << 32
+
+
+@dataclass(frozen=True, slots=True)
+class RouteEntry:
+    """A route with its splits as upper ends of ranges of the hash of a request's id."""
+
+    route: Route
+    services: tuple[str, ...]
+    range_ends: tuple[float, ...]
+
+    def service_for(self, request_id: str) -> str:
+        """The service that serves a request; the same one each time for the same id."""
+        if len(self.services) == 1:
+            return self.services[0]
+        position = zlib.crc32(request_id.encode("latin-1"))
+        for service, end in zip(self.services, self.range_ends, strict=True):
+            if position < end:
+                return service
+        return self.services[-1]
+
+
+class _HostRoutes:
+    """The routes of one host by prefix."""
+
+    __slots__ = ("by_prefix", "longest")
+
+    def __init__(self) -> None:
+        self.by_prefix: dict[str, RouteEntry] = {}
+        self.longest = 0
+
+    def add(self, prefix: str, entry: RouteEntry) -> None:
+        self.by_prefix[prefix] = entry
+        self.longest = max(self.longest, len(prefix))
+
+    def find(self, path: str) -> RouteEntry | None:
+        end = min(len(path), self.longest)
+        while (slash := path.rfind("/", 0, end)) >= 0:
+            if entry := self.by_prefix.get(path[: slash + 1]):
+                return entry
+            end = slash
+        return None
+
+
+class RoutingTable:
+    """Answers which route a request takes and which tenant holds a key."""
+
+    def __init__(self, configuration: ConfigurationView) -> None:
+        limits = configuration.limits
+        self.version = configuration.version
+        self.limits = ReadLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        )
+        self.has_tenants = bool(configuration.tenants)
+        self._hosts: dict[str, _HostRoutes] = {}
+        self._tenants_by_key: dict[str, Tenant] = {}
+        self._add_routes(configuration.routes.values())
+        for tenant in configuration.tenants.values():
+            self._tenants_by_key.update(dict.fromkeys(tenant.api_keys, tenant))
+
+    def find(self, host: str, path: str) -> RouteEntry | None:
+        """The route of the host with the longest prefix of the path. `host` is in lower case and may name a port."""
+        routes = self._hosts.get(host) or self._hosts.get(host.partition(":")[0])
+        return routes.find(path) if routes is not None else None
+
+    def tenant_of(self, key: str) -> Tenant | None:
+        return self._tenants_by_key.get(key)
+
+    def _add_routes(self, routes: Iterable[Route]) -> None:
+        for route in routes:
+            host = self._hosts.setdefault(route.hostname.lower(), _HostRoutes())
+            host.add(route.path_prefix, _entry(route))
+
+
+def _entry(route: Route) -> RouteEntry:
+    weighted = [split for split in route.splits if split.weight > 0]
+    total = sum(split.weight for split in weighted)
+    ends, reached = [], 0.0
+    for split in weighted:
+        reached += split.weight
+        ends.append(_SPLIT_STEPS * reached / total)
+    return RouteEntry(route, tuple(split.service for split in weighted), tuple(ends))
--- /dev/null
+++ b/ochrespan/data_plane/server_answer.py
@@ -0,0 +1,138 @@
+"""A server's answer, read by geventhttpclient's parser and checked by its framing and its request id."""
+
+from __future__ import annotations
+
+from geventhttpclient.response import HTTPParseError, HTTPResponseParser
+
+MISDIRECTED = 421
+_HAS_NO_BODY = True
+_MAY_HAVE_BODY = False
+
+
+class AnswerGarbled(Exception):
+    """Bytes that are no answer, or no answer to the request that was sent."""
+
+
+class ServerAnswer(HTTPResponseParser):
+    """One answer: its head, and the part of its body that has arrived and was not taken yet.
+
+    geventhttpclient's own HTTPResponse would start over with the bytes behind a whole answer; here they make the
+    connection unfit for further use. Interim answers (1xx) are skipped, and so is a late answer to another request that
+    comes in the place of the expected one.
+    """
+
+    def __init__(self, method: str, request_id: str) -> None:
+        super().__init__()
+        self._skips_body = method == "HEAD"
+        self._request_id = request_id
+        self.status = 0
+        self.reason = ""
+        self.headers: list[tuple[str, str]] = []
+        self.values: dict[str, str] = {}  # by name in lower case; the last one of duplicates
+        self.head_complete = False
+        self.complete = False
+        self.body = bytearray()
+        self._out_of_step = False  # an answer to another request, or bytes that belong to none, have come
+        self._skipping = False
+        self._kept_alive = False
+        self._name = ""
+        self._value: str | None = None
+
+    def receive(self, data: bytes) -> None:
+        """Reads on in the answer; raises AnswerGarbled."""
+        try:
+            self.feed(data)
+        except HTTPParseError as error:
+            if not self.complete:
+                raise AnswerGarbled(str(error)) from error
+            self._out_of_step = True
+
+    def take_body(self) -> bytes:
+        data = bytes(self.body)
+        self.body.clear()
+        return data
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the connection may carry another request."""
+        return self.complete and self._kept_alive and not self._out_of_step
+
+    @property
+    def not_executed(self) -> bool:
+        """Whether the server says that it has not run the request."""
+        return "x-not-executed" in self.values or self.get_code() == MISDIRECTED
+
+    @property
+    def is_event_stream(self) -> bool:
+        return self.values.get("content-type", "").partition(";")[0].strip().lower() == "text/event-stream"
+
+    @property
+    def keep_alive_s(self) -> float | None:
+        """How long the server keeps the idle connection, as far as it says so."""
+        for parameter in self.values.get("keep-alive", "").split(","):
+            name, _, value = parameter.strip().partition("=")
+            if name.lower() == "timeout" and value.isdecimal():
+                return float(value)
+        return None
+
+    # Callbacks of the parser.
+
+    def _on_message_begin(self) -> None:
+        if self.complete:
+            raise HTTPParseError("bytes behind a whole answer")
+
+    def _on_status(self, reason: str) -> None:
+        self.reason += reason
+
+    def _on_header_field(self, text: str) -> None:
+        if self._value is not None:
+            self._add_header()
+        self._name += text
+
+    def _on_header_value(self, text: str) -> None:
+        self._value = text if self._value is None else self._value + text
+
+    def _on_headers_complete(self) -> bool:
+        if self._name:
+            self._add_header()
+        status = self.get_code()
+        if status < 200:
+            self._skipping = True
+            return _HAS_NO_BODY
+        if self._answers_another_request():
+            self._skipping = self._out_of_step = True
+        else:
+            self.status = status
+            self.head_complete = True
+        return _HAS_NO_BODY if self._skips_body else _MAY_HAVE_BODY
+
+    def _on_body(self, data: bytearray) -> None:
+        if not self._skipping:
+            self.body += data
+
+    def _on_message_complete(self) -> None:
+        if self._skipping:
+            self._start_over()
+            return
+        self.complete = True
+        self._kept_alive = self.should_keep_alive()
+
+    def _answers_another_request(self) -> bool:
+        answered = self.values.get("x-request-id")
+        if answered is not None:
+            return answered != self._request_id
+        if self.not_executed:  # a server that sheds at its door has not read the id
+            return False
+        raise HTTPParseError("an answer without X-Request-Id")
+
+    def _add_header(self) -> None:
+        value = self._value or ""
+        self.headers.append((self._name, value))
+        self.values[self._name.lower()] = value
+        self._name, self._value = "", None
+
+    def _start_over(self) -> None:
+        self._skipping = False
+        self.reason = ""
+        self.headers.clear()
+        self.values.clear()
--- /dev/null
+++ b/ochrespan/data_plane/watched_socket.py
@@ -0,0 +1,134 @@
+"""Non-blocking sockets whose read watcher stays armed, so that waiting for the next bytes costs no system call."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+from collections.abc import Callable
+
+import gevent
+
+READ, WRITE = 1, 2  # events of a watcher
+RECEIVE_BYTES = 64 * 1024
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+def ignore_event() -> None:
+    """For a socket that nobody waits for."""
+
+
+class WatchedSocket:
+    """Collects what arrives in `received`, up to a bound, and tells `on_event` of it in the event loop.
+
+    Reading pauses while `received` is full, until `take` empties it. `ended` is set once the peer has closed its side
+    or the connection has failed.
+    """
+
+    __slots__ = ("_sock", "_loop", "_reader", "_writer", "_bound", "_paused", "received", "ended", "failed", "on_event")
+
+    def __init__(self, sock: socket.socket, received_bound: int, on_event: Callable[[], None] = ignore_event) -> None:
+        self._sock = sock
+        self._loop = gevent.get_hub().loop
+        self._bound = received_bound
+        self._paused = False
+        self._writer = None
+        self.received = bytearray()
+        self.ended = False
+        self.failed = False
+        self.on_event = on_event
+        self._reader = self._loop.io(sock.fileno(), READ)
+        self._reader.start(self._readable)
+
+    @property
+    def closed(self) -> bool:
+        return self._reader is None
+
+    def take(self) -> bytes:
+        """All bytes that have arrived."""
+        data = bytes(self.received)
+        self.received.clear()
+        self.resume()
+        return data
+
+    def resume(self) -> None:
+        """Reads on if reading has paused and there is room again."""
+        if self._paused and len(self.received) < self._bound and self._reader is not None:
+            self._paused = False
+            self._reader.start(self._readable)
+
+    def poll(self) -> None:
+        """Reads what has arrived but has not been seen by the event loop yet."""
+        if not self.ended and not self._paused and self._reader is not None:
+            self._receive()
+
+    def send_some(self, data: bytes | bytearray | memoryview) -> int:
+        """The number of bytes that were taken at once; raises OSError where the connection has failed."""
+        try:
+            return self._sock.send(data)
+        except BlockingIOError:
+            return 0
+
+    def watch_writable(self) -> None:
+        """Tells `on_event` once, as soon as more can be sent."""
+        if self._writer is None:
+            self._writer = self._loop.io(self._sock.fileno(), WRITE)
+        self._writer.start(self._writable)
+
+    @property
+    def waits_for_writable(self) -> bool:
+        return self._writer is not None and self._writer.active
+
+    def connect_error(self) -> int:
+        """The error number of a connection attempt that has ended, 0 for success."""
+        return self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+    def shutdown_write(self) -> None:
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+
+    def close(self) -> None:
+        """Closes the connection; with unread bytes, the peer sees a reset."""
+        if self._reader is None:
+            return
+        self._reader.close()
+        self._reader = None
+        if self._writer is not None:
+            self._writer.close()
+            self._writer = None
+        self.on_event = ignore_event
+        with contextlib.suppress(OSError):
+            self._sock.close()
+
+    def reset(self) -> None:
+        """Closes the connection so that the peer sees that it was broken off."""
+        if self._reader is not None:
+            with contextlib.suppress(OSError):
+                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            self.close()
+
+    def _readable(self) -> None:
+        if self._receive():
+            self.on_event()
+
+    def _receive(self) -> bool:
+        try:
+            data = self._sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return False
+        except OSError:
+            data = b""
+            self.failed = True
+        if data:
+            self.received += data
+            if len(self.received) >= self._bound:
+                self._paused = True
+                self._reader.stop()
+        else:
+            self.ended = True
+            self._reader.stop()
+        return True
+
+    def _writable(self) -> None:
+        self._writer.stop()
+        self.on_event()
--- /dev/null
+++ b/ochrespan/programs/router.py
@@ -0,0 +1,94 @@
+"""The router: serves clients of the fleet by the table that the controllers feed it."""
+
+from __future__ import annotations
+
+import logging
+import random
+import signal
+import sys
+
+import gevent
+from gevent.event import Event
+
+from ..control_plane.checking import CheckFailed
+from ..control_plane.feed_client import FeedClient
+from ..control_plane.peer_addresses import seed_peer_addresses
+from ..data_plane.router_node import DrainTimes, RouterNode
+from ..data_plane.scheduler import Scheduler
+from ..transport.tcp import parse_address
+from .settings import Settings, SettingsFile, bound, settings_path
+
+log = logging.getLogger(__name__)
+
+EXIT_BAD_SETTINGS = 78
+DEFAULT_GRACE_S = 8.0
+DEFAULT_MAX_DESCRIPTORS = 1024
+
+
+class Router:
+    """The parts of one router process."""
+
+    def __init__(self, settings: Settings) -> None:
+        scheduler = Scheduler(
+            settings["zone"],
+            random.SystemRandom().getrandbits(32),
+            bound(settings, "retry_budget_ratio", 0.2),
+            bound(settings, "budget_slack", 0),
+            bound(settings, "budget_window_s", 10),
+        )
+        listen = settings["listen"]
+        max_descriptors = settings.get("limits", {}).get("max_fds", DEFAULT_MAX_DESCRIPTORS)
+        self._settings = settings
+        self._node = RouterNode(
+            parse_address(listen["front"]), parse_address(listen["ready"]), max_descriptors, scheduler
+        )
+        self._feed = FeedClient(
+            settings["node"], settings["zone"], seed_peer_addresses(settings), self._node.table_changed
+        )
+        self._node.feed = self._feed
+
+    def start(self) -> None:
+        """Begins to listen and to follow the feed."""
+        self._node.start()
+        self._feed.start()
+
+    def settings_changed(self, settings: Settings) -> None:
+        """Takes over what may change while the process runs."""
+        self._settings = settings
+        self._feed.seeds_changed(seed_peer_addresses(settings))
+
+    def stop(self) -> None:
+        """Ends what runs within the platform's grace, and then the feed."""
+        self._node.drain(DrainTimes.within(bound(self._settings, "grace_s", DEFAULT_GRACE_S)))
+        self._feed.stop()
+
+
+def main() -> int:
+    """Runs a router until SIGTERM."""
+    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s %(message)s")
+    ended = Event()
+    gevent.signal_handler(signal.SIGTERM, ended.set)
+    gevent.signal_handler(signal.SIGINT, ended.set)
+    router: Router | None = None
+
+    def settings_changed(settings: Settings) -> None:
+        if router is not None:
+            router.settings_changed(settings)
+
+    try:
+        settings_file = SettingsFile(settings_path(), settings_changed)
+    except CheckFailed as error:
+        for finding in error.findings:
+            log.error("settings refused where=%r found=%r allowed=%r", finding.where, finding.found, finding.allowed)
+        return EXIT_BAD_SETTINGS
+    gevent.signal_handler(signal.SIGHUP, settings_file.reload)
+    router = Router(settings_file.current)
+    router.start()
+    gevent.spawn(settings_file.watch)
+    ended.wait()
+    router.stop()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
