--- a/ochrespan/data_plane/event_stream.py
+++ b/ochrespan/data_plane/event_stream.py
@@ -4,21 +4,20 @@
 
 import re
 
-from .server_answer import AnswerGarbled
-
 MAX_EVENT_BYTES = 1024 * 1024
 _EVENT_END = b"\n\n"
-_EVENT_END_WITH_RETURN = b"\r\n\r\n"
+_EVENT_END_WITH_RETURN = b"\n\r\n"
 _EVENT_ID = re.compile(rb"(?:^|\n)id: ?([0-9]{1,18})\r?(?=\n)")
 
 
 class EventStream:
     """What has been passed on of one stream, over all servers that it was taken up at."""
 
-    __slots__ = ("last_id", "_even_steps", "_pending", "_resumed")
+    __slots__ = ("last_id", "fault", "_even_steps", "_pending", "_resumed")
 
     def __init__(self) -> None:
         self.last_id: int | None = None
+        self.fault = ""  # why nothing more of this server's events may be passed on
         self._even_steps = True  # every id so far was the one before plus 1
         self._pending = b""
         self._resumed = False
@@ -30,33 +29,40 @@
 
     def take_up(self) -> None:
         """The next bytes come from another server, which continues behind `last_id`."""
+        self.fault = ""
         self._pending = b""
         self._resumed = self.last_id is not None
 
     def whole_events(self, data: bytes) -> bytes:
-        """The events that are whole now that `data` has come; raises AnswerGarbled."""
+        """The events that are whole now that `data` has come, up to the first one that may not be passed on."""
         if self._pending:
             data = self._pending + data
-        end = data.rfind(_EVENT_END) + len(_EVENT_END)
-        if end < len(_EVENT_END):
-            end = data.rfind(_EVENT_END_WITH_RETURN) + len(_EVENT_END_WITH_RETURN)
-            if end < len(_EVENT_END_WITH_RETURN):
-                end = 0
-        if end == len(data):
-            self._pending = b""
-        else:
-            data, self._pending = data[:end], data[end:]
-            if len(self._pending) > MAX_EVENT_BYTES:
-                raise AnswerGarbled("an event that does not end")
-        for event_id in _EVENT_ID.findall(data):
-            self._check(int(event_id))
-        return data
-
-    def _check(self, event_id: int) -> None:
+        end = len(data) if data.endswith(_EVENT_END) else _end_of_events(data, len(data))
+        self._pending = data[end:]
+        if len(self._pending) > MAX_EVENT_BYTES:
+            self.fault = "an event that does not end"
+        for found in _EVENT_ID.finditer(data, 0, end):
+            if not self._follows(int(found[1])):
+                return data[: _end_of_events(data, found.start() + 1)]
+        return data[:end]
+
+    def _follows(self, event_id: int) -> bool:
         last = self.last_id
         if last is not None and event_id != last + 1:
             if event_id <= last or (self._resumed and self._even_steps):
-                raise AnswerGarbled(f"event {event_id} behind event {last}")
+                self.fault = f"event {event_id} behind event {last}"
+                return False
             self._even_steps = False
         self.last_id = event_id
         self._resumed = False
+        return True
+
+
+def _end_of_events(data: bytes, before: int) -> int:
+    """The end of the last event that ends at `before` or earlier."""
+    end = 0
+    for mark in (_EVENT_END, _EVENT_END_WITH_RETURN):
+        start = data.rfind(mark, 0, before)
+        if start >= 0:
+            end = max(end, start + len(mark))
+    return end
--- a/ochrespan/data_plane/exchange.py
+++ b/ochrespan/data_plane/exchange.py
@@ -14,7 +14,7 @@
 from .event_stream import EventStream
 from .own_answers import OwnAnswer, StartResponse, answer_for
 from .request_head import ClientGone
-from .server_answer import MISDIRECTED, AnswerGarbled, ServerAnswer
+from .server_answer import MISDIRECTED, ServerAnswer
 from .server_pools import ServerPools
 from .server_request import ServerRequest, end_to_end_headers
 
@@ -60,6 +60,7 @@
         self._attempt: Attempt | None = None  # the one that runs
         self._events = EventStream()
         self._ready = b""  # whole events that are to be passed on
+        self._break: Outcome | None = None  # the attempt has failed behind what is ready
 
     def respond(self, start_response: StartResponse) -> Iterable[bytes]:
         """The answer as a WSGI result; raises ClientGone."""
@@ -142,7 +143,7 @@
             return self._server_request.encode(send.server_id, left, send.priority, self._events.last_id)
 
         self._events.take_up()
-        self._ready = b""
+        self._break = None
         answer = ServerAnswer(self._server_request.method, self._server_request.request_id)
         attempt.send(message, answer, self._unsafe)
         self._was_sent = True
@@ -151,28 +152,33 @@
         """Reads until the answer can be passed on: it is whole, its first event is, or it is long."""
         answer = attempt.answer
         told = False
-        while not self._can_be_passed_on(answer):
-            attempt.receive()
-            if not answer.head_complete or answer.not_executed:
-                continue
-            if _carries_events(answer):
-                self._take_events(answer)
-                if not self._ready:
-                    continue
-            if not told:
-                told = True
-                self._dispatcher.first_event(self._request.id, time.monotonic() - attempt.sent_at)
-
-    def _can_be_passed_on(self, answer: ServerAnswer) -> bool:
-        return answer.complete or bool(self._ready) or len(answer.body) > MAX_HELD_BODY_BYTES
-
-    def _take_events(self, answer: ServerAnswer) -> None:
+        while not (answer.complete or self._ready or len(answer.body) > MAX_HELD_BODY_BYTES):
+            self._receive(attempt)
+            if answer.head_complete and not answer.not_executed:
+                told = told or self._tell_first_event(attempt)
+            if self._break is not None and not self._ready:
+                raise AttemptEnded(self._break)
+
+    def _tell_first_event(self, attempt: Attempt) -> bool:
+        """Whether the first piece has come, which the scheduler is told."""
+        if _carries_events(attempt.answer) and not self._ready:
+            return False
+        self._dispatcher.first_event(self._request.id, time.monotonic() - attempt.sent_at)
+        return True
+
+    def _receive(self, attempt: Attempt) -> None:
+        """Reads on. Events that came whole before a failure are ready to be passed on, and `_break` tells of it."""
+        answer = attempt.answer
         try:
+            attempt.receive()
+        except AttemptEnded as end:
+            if end.outcome is Outcome.CANCELLED:
+                raise ClientGone("while a server worked on the request") from end
+            self._break = end.outcome
+        if answer.head_complete and _carries_events(answer):
             self._ready += self._events.whole_events(answer.take_body())
-        except AnswerGarbled as error:
-            raise AttemptEnded(Outcome.GARBLED) from error
-        if answer.complete and self._events.within_event:
-            raise AttemptEnded(Outcome.GARBLED)
+            if self._events.fault or (answer.complete and self._events.within_event):
+                self._break = Outcome.GARBLED
 
     def _relay_body(self, attempt: Attempt) -> Iterator[bytes]:
         """Passes a long body on as it comes."""
@@ -183,28 +189,26 @@
             if answer.complete:
                 self._end_attempt(Outcome.DONE)
                 return
-            try:
-                attempt.receive()
-            except AttemptEnded as end:
-                self._end_attempt(end.outcome)
-                raise AnswerBroken(end.outcome.value) from end
+            self._receive(attempt)
+            if self._break is not None:
+                self._end_attempt(self._break)
+                raise AnswerBroken(self._break.value)
 
     def _relay_events(self, attempt: Attempt) -> Iterator[bytes]:
         """Passes events on as they come, and takes the stream up at another server where that is allowed."""
         while True:
-            complete = attempt.answer.complete
-            if complete:
+            whole = attempt.answer.complete and self._break is None
+            if whole:
                 self._end_attempt(Outcome.DONE)
             if self._ready:
                 ready, self._ready = self._ready, b""
                 yield ready
-            if complete:
+            if whole:
                 return
-            try:
-                attempt.receive()
-                self._take_events(attempt.answer)
-            except AttemptEnded as end:
-                attempt = self._resume(end.outcome)
+            if self._break is None:
+                self._receive(attempt)
+            else:
+                attempt = self._resume(self._break)
 
     def _resume(self, outcome: Outcome) -> Attempt:
         """The attempt that continues the stream; raises AnswerBroken where none does."""
--- a/tests/fleet_standins.py
+++ b/tests/fleet_standins.py
@@ -49,6 +49,7 @@
 
     def __init__(self, *script: Callable[[Received], None]) -> None:
         self.script = list(script)
+        self.before_request: Callable[[Received], None] | None = None  # in place of reading the first request
         self.requests: list[Received] = []
         self.connections = 0
         self.peers_gone = 0
@@ -68,6 +69,8 @@
         self.connections += 1
         reader = sock.makefile("rb")
         try:
+            if self.before_request is not None:
+                self.before_request(Received("", [], b"", sock))
             while (received := read_request(reader, sock)) is not None:
                 self.requests.append(received)
                 self.arrived.set()
@@ -82,6 +85,13 @@
             sock.close()
 
 
+def unused_address() -> tuple[str, int]:
+    """An address that refuses connections."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()
+
+
 def read_request(reader: Any, sock: Any) -> Received | None:
     line = reader.readline()
     if not line:
@@ -176,7 +186,7 @@
         self.may_have_run: set[str] = set()
         self.max_attempts = max_attempts
         self.holds = False
-        self.cancel_seen = Event()
+        self.cancel_seen, self.submit_seen = Event(), Event()
 
     def set_servers(self, now: float, servers: list[Server], routers: int, rank: int) -> list[Any]:
         self.servers = servers
@@ -185,6 +195,7 @@
     def submit(self, now: float, request: Request) -> list[Any]:
         self.requests[request.id] = request
         self.submitted.append(request)
+        self.submit_seen.set()
         return [] if self.holds else self._send(now, request)
 
     def release(self) -> list[Any]:
--- /dev/null
+++ b/tests/test_ingress.py
@@ -0,0 +1,333 @@
+"""What clients send: every form of framing, limits of size and time, order, and clients that leave."""
+
+import gevent
+import pytest
+
+from ochrespan.data_plane.decisions import Outcome
+from tests.fleet_standins import (
+    HOST,
+    StandInServer,
+    answer,
+    chunk,
+    configuration,
+    event,
+    hold,
+    request_bytes,
+    route,
+    router,
+    stream,
+    tenant,
+)
+
+START = f"POST /a HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: q1\r\n"
+
+
+@pytest.fixture
+def made():
+    with router() as made:
+        yield made
+
+
+@pytest.fixture
+def server(made):
+    server = StandInServer(answer())
+    made.use(configuration(route()), server)
+    yield server
+    server.stop()
+
+
+MALFORMED = {
+    "no version": b"POST /a\r\nHost: h\r\n\r\n",
+    "two spaces": b"POST  /a HTTP/1.1\r\nHost: h\r\n\r\n",
+    "a path with a blank": b"POST /a b HTTP/1.1\r\nHost: h\r\n\r\n",
+    "a method that is no token": b"PO(ST /a HTTP/1.1\r\nHost: h\r\n\r\n",
+    "an absolute path": b"POST http://h/a HTTP/1.1\r\nHost: h\r\n\r\n",
+    "no path": b"OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n",
+    "another protocol": b"POST /a SPDY/3\r\nHost: h\r\n\r\n",
+    "no host": b"POST /a HTTP/1.1\r\nX-Request-Id: q1\r\n\r\n",
+    "two hosts": b"POST /a HTTP/1.1\r\nHost: h\r\nHost: h\r\n\r\n",
+    "a folded header": START.encode() + b"X-A: b\r\n c\r\n\r\n",
+    "a blank before the colon": START.encode() + b"Content-Length : 5\r\n\r\nhello",
+    "a header without a colon": START.encode() + b"nothing\r\n\r\n",
+    "a header without a name": START.encode() + b": nothing\r\n\r\n",
+    "a NUL": START.encode() + b"X-A: b\0c\r\n\r\n",
+    "a bare line feed": START.encode() + b"X-A: b\nContent-Length: 5\r\n\r\nhello",
+    "a bare carriage return": START.encode() + b"X-A: b\rContent-Length: 5\r\n\r\nhello",
+    "length and chunks": START.encode() + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "two lengths": START.encode() + b"Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
+    "two equal lengths": START.encode() + b"Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello",
+    "a list of lengths": START.encode() + b"Content-Length: 5, 5\r\n\r\nhello",
+    "a signed length": START.encode() + b"Content-Length: +5\r\n\r\nhello",
+    "a negative length": START.encode() + b"Content-Length: -5\r\n\r\nhello",
+    "a hexadecimal length": START.encode() + b"Content-Length: 0x5\r\n\r\nhello",
+    "no digits in a length": START.encode() + b"Content-Length: \r\n\r\n",
+    "another encoding": START.encode() + b"Transfer-Encoding: gzip\r\n\r\n",
+    "two encodings": START.encode() + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    "chunked twice": START.encode() + b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "a disguised encoding": START.encode() + b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+    "chunks in HTTP/1.0": START.replace("1.1", "1.0").encode() + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "no digits in a chunk's size": START.encode() + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+    "an empty chunk size": START.encode() + b"Transfer-Encoding: chunked\r\n\r\n\r\n",
+    "a signed chunk size": START.encode() + b"Transfer-Encoding: chunked\r\n\r\n+5\r\nhello\r\n0\r\n\r\n",
+    "a chunk longer than its size": START.encode() + b"Transfer-Encoding: chunked\r\n\r\n4\r\nhello\r\n0\r\n\r\n",
+    "a line feed behind a chunk": START.encode() + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\n0\r\n\r\n",
+    "a trailer without a colon": START.encode() + b"Transfer-Encoding: chunked\r\n\r\n0\r\nnothing\r\n\r\n",
+    "no request id": f"POST /a HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode(),
+    "two request ids": START.encode() + b"X-Request-Id: q2\r\n\r\n",
+    "a deadline that is no number": START.encode() + b"X-Deadline-Ms: soon\r\n\r\n",
+    "a token usage that is none": START.encode() + b"X-Token-Usage: 5\r\n\r\n",
+    "a prompt prefix that is none": START.encode() + b"X-Prompt-Prefix: xyz\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("name", MALFORMED)
+def test_what_could_be_read_in_two_ways_is_refused_and_the_connection_closed(made, server, name):
+    client = made.client()
+    client.send(MALFORMED[name] + request_bytes(id="smuggled"))
+    got = client.read_answer()
+    assert (got.status, got.value("Connection")) == (400, "close")
+    assert b"found" in got.body and b"allowed" in got.body
+    assert client.is_closed()
+    assert not server.requests
+
+
+@pytest.mark.parametrize(
+    ("status", "data"),
+    [
+        (431, START.encode() + b"X-A: " + b"b" * 20_000),
+        (431, START.encode() + b"X-A: " + b"b" * 20_000 + b"\r\n\r\n"),
+        (413, START.encode() + b"Content-Length: 5000001\r\n\r\n"),
+        (413, START.encode() + b"Transfer-Encoding: chunked\r\n\r\n4c4b41\r\n"),
+        (417, START.encode() + b"Expect: cake\r\n\r\n"),
+        (505, b"POST /a HTTP/2.0\r\nHost: h\r\n\r\n"),
+    ],
+)
+def test_what_is_too_much_is_refused_and_the_connection_closed(made, server, status, data):
+    client = made.client()
+    client.send(data)
+    assert client.read_answer().status == status
+    assert client.is_closed()
+    assert not server.requests
+
+
+def test_a_refusal_reaches_a_client_that_still_sends(made, server):
+    client = made.client()
+    client.send(START.encode() + b"Content-Length: 5000000\r\n\r\n")
+    sender = gevent.spawn(client.send, b"x" * 5_000_000)
+    assert client.read_answer().status == 413
+    sender.kill()
+
+
+WHOLE = {
+    "a length": START.encode() + b"Content-Length: 5\r\n\r\nhello",
+    "no body": START.encode() + b"\r\n",
+    "chunks": START.encode() + b"Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+    "chunks with extensions and trailers": START.encode()
+    + b"Transfer-Encoding: Chunked\r\n\r\n2;a=b\r\nhe\r\n03 \r\nllo\r\n0\r\nX-T: u\r\n\r\n",
+    "an empty line before it": b"\r\n" + START.encode() + b"Content-Length: 5\r\n\r\nhello",
+}
+
+
+@pytest.mark.parametrize("name", WHOLE)
+@pytest.mark.parametrize("at_once", [True, False])
+def test_a_body_reaches_the_server_unchanged(made, server, name, at_once):
+    client = made.client()
+    pieces = [WHOLE[name]] if at_once else [WHOLE[name][at : at + 1] for at in range(len(WHOLE[name]))]
+    for piece in pieces:
+        client.send(piece)
+    assert client.read_answer().status == 200
+    assert server.requests[0].body == (b"" if name == "no body" else b"hello")
+    assert server.requests[0].value("Transfer-Encoding") is None
+    client.ask(id="q2")
+    assert client.read_answer().status == 200
+
+
+def test_a_client_that_expects_it_is_told_to_continue(made, server):
+    client = made.client()
+    client.send(START.encode() + b"Expect: 100-continue\r\nContent-Length: 5\r\n\r\n")
+    assert client.read_head().status == 100
+    client.send(b"hello")
+    assert client.read_answer().status == 200
+    assert server.requests[0].body == b"hello" and server.requests[0].value("Expect") is None
+
+
+def test_pipelined_requests_are_answered_in_order(made):
+    server = StandInServer(lambda received: answer(received.id.encode())(received))
+    made.use(configuration(route()), server)
+    client = made.client()
+    client.send(b"".join(request_bytes(id=f"q{number}", body=b"b" * number) for number in range(20)))
+    assert [client.read_answer().body for _ in range(20)] == [f"q{number}".encode() for number in range(20)]
+
+
+def test_headers_pass_with_duplicates_but_for_those_of_one_connection_and_those_set_here(made):
+    server = StandInServer(answer())
+    made.use(configuration(route(), tenants=(tenant("acme", "key"),)), server)
+    client = made.client()
+    client.send(
+        b"PUT /a%20b?c=d HTTP/1.1\r\nHost: " + HOST.encode() + b"\r\nX-Request-Id: q1\r\nX-Dup: 1\r\nx-dup: 2\r\n"
+        b"Connection: keep-alive, X-Named, X-Request-Id, Host\r\nX-Named: a\r\nKeep-Alive: timeout=5\r\n"
+        b"TE: trailers\r\n"
+        b"X-Credential: key\r\nX-Tenant: mallory\r\nX-Expect-Instance: i-9\r\nPriority: 0\r\nX-Deadline-Ms: 1500.5\r\n"
+        b"X-Model: m\r\n\r\n"
+    )
+    assert client.read_answer().status == 200
+    received = server.requests[0]
+    assert received.line == "PUT /a%20b?c=d HTTP/1.1"
+    names = sorted(name.lower() for name, _ in received.headers)
+    assert names == [
+        "host", "priority", "x-deadline-ms", "x-dup", "x-dup",
+        "x-expect-instance", "x-model", "x-request-id", "x-tenant",
+    ]  # fmt: skip
+    assert [value for name, value in received.headers if name.lower() == "x-dup"] == ["1", "2"]
+    assert (received.value("X-Tenant"), received.value("X-Expect-Instance")) == ("acme", "i-0")
+    assert 0 < int(received.value("X-Deadline-Ms")) <= 1500
+
+
+def test_the_tenant_that_a_client_claims_never_passes(made):
+    server = StandInServer(answer())
+    made.use(configuration(route(public=True), tenants=(tenant("acme", "key"),)), server)
+    client = made.client()
+    client.ask(headers="X-Tenant: mallory\r\n")
+    assert client.read_answer().status == 200
+    assert server.requests[0].value("X-Tenant") is None
+
+
+@pytest.mark.parametrize(("fresh", "statuses"), [(True, (404, 401, 401)), (False, (503, 503, 503))])
+def test_denials_need_a_table_that_is_surely_current(made, server, fresh, statuses):
+    made.use(configuration(route(prefix="/a/"), tenants=(tenant("acme", "key"),)), server)
+    made.fresh = fresh
+    client = made.client()
+    for path, headers, status in (
+        ("/b/", "X-Credential: key\r\n", statuses[0]),
+        ("/a/", "X-Credential: other\r\n", statuses[1]),
+        ("/a/", "", statuses[2]),
+    ):
+        client.ask(path, headers=headers)
+        got = client.read_answer()
+        assert got.status == status
+        assert (got.value("Retry-After") is not None) == (status == 503)
+    client.ask("/a/x", headers="X-Credential: key\r\n")
+    assert client.read_answer().status == 200
+    assert len(server.requests) == 1
+
+
+def test_without_a_table_requests_are_told_to_come_back():
+    with router() as made:
+        client = made.client()
+        client.ask()
+        got = client.read_answer()
+        assert got.status == 503 and float(got.value("Retry-After")) > 0
+
+
+def test_connections_tell_how_long_they_may_rest_and_whether_they_end(made, server):
+    made.use(configuration(route(), idle_timeout_ms=10_000.0), server)
+    client = made.client()
+    client.ask()
+    assert client.read_answer().value("Keep-Alive") == "timeout=8"
+    client.ask(headers="Connection: close\r\n", id="q2")
+    got = client.read_answer()
+    assert (got.value("Connection"), got.value("Keep-Alive")) == ("close", None)
+    assert client.is_closed()
+
+
+def test_a_client_of_the_older_protocol_gets_its_answer_and_the_end(made, server):
+    client = made.client()
+    client.send(START.replace("1.1", "1.0").encode() + b"\r\n")
+    got = client.read_answer()
+    assert got.status == 200 and got.body == b"hello"
+    assert client.is_closed()
+
+
+@pytest.mark.parametrize("data", [b"", b"POST /a HT", START.encode(), START.encode() + b"Content-Length: 9\r\n\r\nhel"])
+def test_a_client_that_takes_too_long_loses_its_connection(made, server, data):
+    made.use(configuration(route(), idle_timeout_ms=60.0, header_timeout_ms=50.0), server)
+    client = made.client()
+    client.send(data)
+    got = client.read_answer()
+    assert got is None if not data else got.status == 408
+    assert client.is_closed()
+    assert not server.requests
+
+
+@pytest.mark.parametrize("data", [b"", b"POST /a HT", START.encode(), START.encode() + b"Content-Length: 9\r\n\r\nhel",
+                                  START.encode() + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhe"])  # fmt: skip
+def test_a_client_that_leaves_within_its_request_leaves_nothing_behind(made, server, data):
+    client = made.client()
+    client.send(data)
+    client.close()
+    other = made.client()
+    other.ask()
+    assert other.read_answer().status == 200
+    wait_for_no_connections(made, 1)
+    assert len(server.requests) == 1
+
+
+def test_a_client_that_leaves_while_its_request_waits_is_noticed(made, server):
+    made.scheduler.holds = True
+    client = made.client()
+    client.ask()
+    assert made.scheduler.submit_seen.wait(5)
+    client.close()
+    assert made.scheduler.cancel_seen.wait(5)
+    assert not server.requests
+    wait_for_no_connections(made)
+
+
+@pytest.mark.parametrize("step", [hold, stream(1, end=hold)])
+def test_a_client_that_leaves_while_a_server_works_ends_the_work(made, step):
+    server = StandInServer(step)
+    made.use(configuration(route(kind="streaming", resumable=True)), server, server)
+    client = made.client()
+    client.ask()
+    assert server.arrived.wait(5)
+    client.close()
+    assert server.peer_gone.wait(5)
+    assert made.scheduler.cancel_seen.wait(5)
+    assert len(server.requests) == 1 and Outcome.LOST not in made.scheduler.outcomes
+    wait_for_no_connections(made)
+
+
+def test_a_client_that_leaves_without_reading_a_stream_ends_the_work(made):
+    def endless(received):
+        for number in range(2, 1000):
+            received.connection.sendall(chunk(event(number, "x" * 100_000)))
+
+    server = StandInServer(stream(1, end=endless))
+    made.use(configuration(route(kind="streaming")), server)
+    client = made.client()
+    client.ask()
+    assert server.arrived.wait(5)
+    client.close()
+    assert made.scheduler.cancel_seen.wait(5)
+    assert server.peer_gone.wait(5)
+    wait_for_no_connections(made)
+
+
+def test_a_client_that_never_reads_is_cut_off_at_its_deadline(made):
+    server = StandInServer(answer(b"x" * 20_000_000))
+    made.use(configuration(route(timeout_ms=100.0)), server)
+    client = made.client()
+    client.ask()
+    assert server.peer_gone.wait(5)
+    wait_for_no_connections(made)
+
+
+def test_beyond_the_bound_the_connection_that_rested_longest_makes_room(server):
+    with router(max_connections=2) as made:
+        made.use(configuration(route()), server)
+        first, second = made.client(), made.client()
+        for client in (first, second):
+            client.ask()
+            assert client.read_answer().status == 200
+        third = made.client()
+        third.ask()
+        assert third.read_answer().status == 200
+        assert first.is_closed()
+        second.ask()
+        assert second.read_answer().status == 200
+
+
+def wait_for_no_connections(made, but: int = 0) -> None:
+    with gevent.Timeout(5):
+        while made.server.open_connections > but:
+            gevent.idle()
