Tests of configurations and orders: every kind of invalid one, repeats, races, changes of leader

Orders must be taken once and never refused after they were taken, which only histories show. The tests send the same and competing changes to several controllers through changes of leader and lost verdicts, and check the line of versions afterwards; no fault was found in them beyond a test's own.

--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,197 @@
+"""Orders are taken once, and what was taken is never refused: by the state machine and over several controllers."""
+
+import gevent
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ochrespan.control_plane import orders
+from ochrespan.control_plane.orders import ConfigurationMachine, Judgement, OrderKind, encode_order, make_order
+from tests.control_plane_world import World, configuration, route
+
+
+def whole(generation, builds_on, *routes):
+    return encode_order(make_order(OrderKind.WHOLE, builds_on, configuration(generation, *routes)))
+
+
+def patch(generation, builds_on, **fields):
+    return encode_order(make_order(OrderKind.PATCH, builds_on, {"generation": generation, **fields}))
+
+
+def judgements(machine, *commands):
+    return [machine.apply(index, command).judgement for index, command in enumerate(commands, start=1)]
+
+
+def test_the_same_order_is_taken_once_and_acknowledged_again_also_after_later_versions():
+    machine = ConfigurationMachine()
+    first, second = whole(3, 0), patch(5, 3, upsert={"routes": [route("r2")]})
+    assert judgements(machine, first, first, second, second, first) == [
+        Judgement.TAKEN, Judgement.TAKEN_BEFORE, Judgement.TAKEN, Judgement.TAKEN_BEFORE, Judgement.TAKEN_BEFORE]
+    assert machine.current.version == 5
+
+
+def test_the_same_order_with_its_fields_in_another_sequence_is_the_same_order():
+    document = configuration(3)
+    turned = dict(reversed(document.items()))
+    assert make_order(OrderKind.WHOLE, 0, document).digest == make_order(OrderKind.WHOLE, 0, turned).digest
+    assert make_order(OrderKind.WHOLE, 0, document).digest != make_order(OrderKind.WHOLE, 1, document).digest
+
+
+def test_of_two_changes_on_one_version_one_wins_whatever_their_numbers():
+    machine = ConfigurationMachine()
+    changes = whole(7, 5, route("a")), whole(7, 5, route("b")), whole(9, 5, route("c"))
+    assert judgements(machine, whole(5, 0), *changes) == [
+        Judgement.TAKEN, Judgement.TAKEN, Judgement.OTHER_VERSION, Judgement.OTHER_VERSION]
+    assert list(machine.current.routes) == ["a"]
+
+
+def test_an_invalid_order_changes_nothing_and_is_invalid_again():
+    machine = ConfigurationMachine()
+    bad = whole(7, 5, route("a", service="nobody"))
+    assert judgements(machine, whole(5, 0), bad, bad, whole(5, 5, route("z"))) == [
+        Judgement.TAKEN, Judgement.INVALID, Judgement.INVALID, Judgement.INVALID]
+    assert machine.current.version == 5
+
+
+@pytest.mark.parametrize("command", [b"", b"\xc1", b"\x91\xa7nothing", b"\x91\xa8cp.order"])
+def test_a_command_that_is_no_order_is_judged_invalid_and_ends_nothing(command):
+    machine = ConfigurationMachine()
+    assert judgements(machine, command, whole(5, 0)) == [Judgement.INVALID, Judgement.TAKEN]
+
+
+def test_a_snapshot_keeps_the_configuration_and_the_orders_taken():
+    machine, restored = ConfigurationMachine(), ConfigurationMachine()
+    judgements(machine, whole(3, 0, route("a"), route("b")), patch(4, 3, delete={"routes": ["a"]}))
+    restored.restore(machine.snapshot())
+    assert restored.current == machine.current
+    assert judgements(restored, whole(3, 0, route("a"), route("b")), whole(9, 3)) == [
+        Judgement.TAKEN_BEFORE, Judgement.OTHER_VERSION]
+    empty = ConfigurationMachine()
+    empty.restore(ConfigurationMachine().snapshot())
+    assert empty.current.version == 0
+
+
+def test_the_memory_of_orders_is_bounded_and_drops_the_oldest(monkeypatch):
+    monkeypatch.setattr(orders, "REMEMBERED_ORDERS", 3)
+    machine = ConfigurationMachine()
+    changes = [whole(version, version - 1) for version in range(1, 6)]
+    judgements(machine, *changes)
+    assert judgements(machine, *changes) == [
+        Judgement.OTHER_VERSION, Judgement.OTHER_VERSION, *[Judgement.TAKEN_BEFORE] * 3]
+
+
+_orders = st.tuples(st.integers(0, 4), st.integers(1, 5), st.sampled_from("ab"))
+
+
+@given(st.lists(_orders, max_size=30), st.integers(0, 30))
+@settings(deadline=None)
+def test_every_history_of_orders_is_linear_and_the_same_after_a_snapshot(history, cut):
+    machine, replica = ConfigurationMachine(), ConfigurationMachine()
+    winners: dict[int, bytes] = {}
+    for index, (builds_on, step, name) in enumerate(history):
+        if index == cut:
+            replica = ConfigurationMachine()
+            replica.restore(machine.snapshot())
+        command = whole(builds_on + step, builds_on, route(name))
+        before = machine.current.version
+        verdict = machine.apply(index, command)
+        assert replica.apply(index, command) == verdict
+        if verdict.judgement is Judgement.TAKEN:
+            assert before == builds_on < verdict.version
+            assert builds_on not in winners
+            winners[builds_on] = command
+        if verdict.judgement is Judgement.TAKEN_BEFORE:
+            assert winners[builds_on] == command
+        if verdict.judgement in (Judgement.OTHER_VERSION, Judgement.INVALID):
+            assert machine.current.version == before and winners.get(builds_on) != command
+
+
+@pytest.fixture
+def world():
+    world = World(members=3)
+    yield world
+    world.close()
+
+
+def test_a_change_sent_again_to_another_controller_is_acknowledged(world):
+    first, second, third = world.controllers
+    assert [each.put_config(configuration(5), 0)[0] for each in (first, second, third)] == [200, 200, 200]
+    change = {"generation": 8, "upsert": {"routes": [route("r2")]}}
+    assert [each.patch_config(change, 5)[0] for each in (third, first, third)] == [200, 200, 200]
+    assert first.put_config(configuration(5), 0)[0] == 200
+    assert second.call("GET", "/api/config")[1]["generation"] == 8
+
+
+def test_a_change_is_acknowledged_again_after_a_change_of_leader(world):
+    first, second, _ = world.controllers
+    assert first.put_config(configuration(5), 0)[0] == 200
+    second.groups.lead()
+    assert [each.put_config(configuration(5), 0)[0] for each in world.controllers] == [200, 200, 200]
+    assert first.put_config(configuration(6), 5)[0] == 200
+
+
+def test_a_change_whose_acknowledgement_was_lost_is_acknowledged_when_sent_again(world):
+    first, second, _ = world.controllers
+    first.groups.lose_verdicts_after_commit = 1
+    assert second.put_config(configuration(5), 0)[0] == 503
+    assert second.put_config(configuration(5), 0)[0] == 200
+    first.groups.lose_commands = 1
+    assert second.put_config(configuration(6), 5)[0] == 503
+    assert second.put_config(configuration(7), 5)[0] == 200
+    assert second.put_config(configuration(6), 5)[0] == 412
+
+
+def test_the_same_change_eight_times_at_once_is_taken_once(world):
+    world.controllers[0].put_config(configuration(5), 0)
+    calls = [gevent.spawn(world.controllers[number % 3].put_config, configuration(6), 5) for number in range(8)]
+    assert {call.get()[0] for call in calls} == {200}
+    assert world.controllers[1].call("GET", "/api/config")[1] == configuration(6)
+
+
+def test_of_eight_different_changes_on_one_version_exactly_one_is_taken(world):
+    world.controllers[0].put_config(configuration(5), 0)
+    documents = [configuration(6 + number % 2, route(f"r{number}")) for number in range(8)]
+    calls = [gevent.spawn(world.controllers[number % 3].put_config, document, 5)
+             for number, document in enumerate(documents)]
+    statuses = [call.get()[0] for call in calls]
+    assert sorted(statuses) == [200, *[412] * 7]
+    assert world.controllers[1].call("GET", "/api/config")[1] == documents[statuses.index(200)]
+
+
+def test_operators_that_race_through_changes_of_leader_leave_one_line_of_versions(world):
+    """Two operators send on what they read, and again until there is a verdict; the history is checked afterwards."""
+    taken: list[tuple[int, int, str]] = []
+
+    def operate(operator: str, seed: int) -> None:
+        for turn in range(12):
+            controller = world.controllers[(seed + turn) % 3]
+            status, current = controller.call("GET", "/api/config")
+            if status != 200:
+                continue
+            version = current["generation"]
+            document = configuration(version + 1 + seed, route(f"{operator}{turn}"))
+            status = 503
+            while status == 503:
+                controller = world.controllers[(world.controllers.index(controller) + 1) % 3]
+                status = controller.put_config(document, version)[0]
+            assert status in (200, 412)
+            if status == 200:
+                taken.append((version, document["generation"], f"{operator}{turn}"))
+
+    def disturb() -> None:
+        for turn in range(9):
+            world.controllers[turn % 3].groups.lead()
+            world.controllers[turn % 3].groups.lose_verdicts_after_commit += 1
+            gevent.idle()
+
+    world.controllers[0].put_config(configuration(5), 0)
+    gevent.joinall([gevent.spawn(operate, "a", 0), gevent.spawn(operate, "b", 1), gevent.spawn(disturb)],
+                   raise_error=True)
+    version = 5
+    steps = {builds_on: (generation, name) for builds_on, generation, name in taken}
+    assert len(steps) == len(taken) > 0
+    while version in steps:
+        version, name = steps.pop(version)
+    assert not steps
+    status, document = world.controllers[0].call("GET", "/api/config")
+    assert status == 200 and document["generation"] == version and document["routes"][0]["name"] == name
