--- a/ochrespan/control_plane/controller_node.py
+++ b/ochrespan/control_plane/controller_node.py
@@ -52,7 +52,7 @@
         groups: ReplicaGroups,
         state: ControlState,
         call_server: CallServer,
-        known_controllers: Callable[[], Iterable[Address]],
+        seeds: Callable[[], Iterable[Address]],
     ) -> None:
         self._node = node
         self._zone = zone
@@ -66,7 +66,8 @@
         self.service = ControlService(groups, configuration_owner, self._instance_owner, state.instances, self._peers)
         self.api = ControlApi(self.service, self.status, self.is_ready)
         self._feed = FeedServer(groups, state.configuration, state.instances, self._census, self._controllers)
-        self._presence = PresenceReporter(address, zone, self._census, self._peers, known_controllers)
+        self._presence = PresenceReporter(address, zone, self._census, self._peers, self._known_addresses)
+        self._seeds = seeds
         for part in (self.service, self._feed, self._presence):
             part.register(call_server)
 
@@ -115,5 +116,8 @@
             "offset": self._groups.applied_index(shard),
         }
 
+    def _known_addresses(self) -> set[Address]:
+        return self._groups.voters(CONFIG_SHARD).union(self._seeds())
+
     def _controllers(self) -> list[tuple[Address, str]]:
         return [(self._address, self._zone), *self._census.controllers()]
--- a/ochrespan/control_plane/feed_server.py
+++ b/ochrespan/control_plane/feed_server.py
@@ -43,7 +43,7 @@
 
     start: int = 0
     last: int = 0  # the offset of the latest change
-    applied: int = 0  # the offset of the latest command, whether or not it changed anything
+    restored: bool = False  # the state has jumped, and its new offset is not known yet
     changes: deque[tuple[int, bytes]] = field(default_factory=deque)
     size: int = 0
 
@@ -60,7 +60,8 @@
         """Forgets all changes: the state jumped to `offset`."""
         self.changes.clear()
         self.size = 0
-        self.start = self.last = self.applied = offset
+        self.start = self.last = offset
+        self.restored = False
 
     def since(self, offset: int) -> list[bytes] | None:
         """The changes after `offset`, or None where they do not reach back so far."""
@@ -104,19 +105,25 @@
     def applied(self, shard: int, index: int, result: Any) -> None:
         """Sends what an applied command changed."""
         history = self._histories[shard]
-        history.applied = index
         body = _packed_change(result)
-        if body is None:
-            return
+        if body is None or history.restored:
+            return  # a snapshot that is about to be sent holds the change
         encoded = encode(FeedDelta(shard, history.last, index, body))
         history.add(index, encoded)
         for subscriber in list(self._subscribers.values()):
             self._send(subscriber, encoded)
 
     def restored(self, shard: int) -> None:
-        """Sends the whole state of a shard that has jumped ahead by a snapshot."""
+        """Sends the whole state of a shard that has jumped ahead by a snapshot, once its offset is known."""
+        self._histories[shard].restored = True
+        gevent.spawn(self._settle, shard)
+
+    def _settle(self, shard: int) -> None:
+        history = self._histories[shard]
+        if not history.restored:
+            return
         offset = self._groups.applied_index(shard)
-        self._histories[shard].restart(offset)
+        history.restart(offset)
         if self._subscribers:
             encoded = encode(self._snapshot(shard, offset))
             for subscriber in list(self._subscribers.values()):
@@ -126,6 +133,7 @@
         """Brings a router up to date, and sends it all changes from now on."""
         subscriber = Subscriber(request.node, connection)
         for shard, history in self._histories.items():
+            self._settle(shard)
             for encoded in self._missed(shard, history, request.offsets.get(shard, 0)):
                 self._send(subscriber, encoded)
         if connection.closed:
@@ -154,7 +162,7 @@
         missed = history.since(offset) if offset else None
         if missed is not None:
             return missed
-        return [encode(self._snapshot(shard, history.applied))]
+        return [encode(self._snapshot(shard, self._groups.applied_index(shard)))]
 
     def _snapshot(self, shard: int, offset: int) -> FeedSnapshot:
         if shard == CONFIG_SHARD:
@@ -166,7 +174,7 @@
     def _freshness(self) -> Freshness:
         return Freshness(
             quorum_ages={shard: self._groups.quorum_age(shard) for shard in ALL_SHARDS},
-            offsets={shard: history.applied for shard, history in self._histories.items()},
+            offsets={shard: self._groups.applied_index(shard) for shard in ALL_SHARDS},
             controllers=[[ip, port, zone] for (ip, port), zone in self._controllers()],
             router_count=0,
             router_rank=0,
--- a/ochrespan/control_plane/owners.py
+++ b/ochrespan/control_plane/owners.py
@@ -59,6 +59,8 @@
 
     def applied_index(self, shard: int) -> int: ...
 
+    def voters(self, shard: int) -> set[Address]: ...
+
 
 @message("cp.read")
 @dataclass(slots=True)
--- a/ochrespan/programs/controller.py
+++ b/ochrespan/programs/controller.py
@@ -10,28 +10,52 @@
 from gevent.event import Event
 
 from ..control_plane.api import serve_api
-from ..control_plane.checking import CheckFailed
+from ..control_plane.checking import CheckFailed, Finding
 from ..control_plane.controller_node import ControllerNode, ControlState
 from ..control_plane.peer_addresses import peer_address, seed_peer_addresses
 from ..control_plane.replica_host import HostSettings, ReplicaHost
-from ..transport.tcp import parse_address
+from ..transport.tcp import Address, parse_address
 from .settings import Settings, SettingsFile, settings_path
 
 log = logging.getLogger(__name__)
 
 DEFAULT_HEARTBEAT_MS = 1000.0
+DEFAULT_DISK_MB = 128
 STOP_TIMEOUT_S = 2.0
 EXIT_BAD_SETTINGS = 78
 
 
+def control_address(settings: Settings) -> Address:
+    """Where the control interface listens; raises CheckFailed."""
+    if "control" not in settings["listen"]:
+        raise CheckFailed([Finding("listen.control", "nothing", "IP:PORT")])
+    return parse_address(settings["listen"]["control"])
+
+
+def host_settings(settings: Settings) -> HostSettings:
+    """What the replicas need of the settings; raises CheckFailed."""
+    if not settings.get("data_dir"):
+        raise CheckFailed([Finding("data_dir", "nothing", "a folder for the replicas")])
+    return HostSettings(
+        address=peer_address(settings),
+        seeds=tuple(seed_peer_addresses(settings)),
+        data_dir=settings["data_dir"],
+        disk_mb=int(settings.get("limits", {}).get("disk_mb") or DEFAULT_DISK_MB),
+        bootstrap=settings.get("bootstrap", False),
+        tolerated_machines=settings.get("fault_tolerance", {}).get("machines", 0),
+        node=settings["node"],
+    )
+
+
 class Controller:
     """The parts of one controller process."""
 
     def __init__(self, settings: Settings) -> None:
         state = ControlState()
         address = peer_address(settings)
-        self._listen = parse_address(settings["listen"]["control"])
-        self._host = ReplicaHost(HostSettings.from_settings(settings), state.machines)
+        self._listen = control_address(settings)
+        self._settings = settings
+        self._host = ReplicaHost(host_settings(settings), state.machines)
         self._node = ControllerNode(
             node=settings["node"],
             zone=settings["zone"],
@@ -40,12 +64,16 @@
             groups=self._host,
             state=state,
             call_server=self._host.call_server,
-            known_controllers=lambda: seed_peer_addresses(settings),
+            seeds=lambda: seed_peer_addresses(self._settings),
         )
         self._host.on_applied = self._node.applied
         self._host.on_restored = self._node.restored
         self._host.on_leadership = self._node.leadership_changed
 
+    def settings_changed(self, settings: Settings) -> None:
+        """The settings file has changed: other seeds count at once, the rest at the next start."""
+        self._settings = settings
+
     def start(self) -> None:
         """Begins to take part and to listen."""
         self._host.start()
@@ -66,13 +94,14 @@
     gevent.signal_handler(signal.SIGTERM, ended.set)
     gevent.signal_handler(signal.SIGINT, ended.set)
     try:
-        settings_file = SettingsFile(settings_path(), lambda settings: None)
+        settings_file = SettingsFile(settings_path())
+        controller = Controller(settings_file.current)
     except CheckFailed as error:
         for finding in error.findings:
             log.error("settings refused where=%r found=%r allowed=%r", finding.where, finding.found, finding.allowed)
         return EXIT_BAD_SETTINGS
+    settings_file.on_change = controller.settings_changed
     gevent.signal_handler(signal.SIGHUP, settings_file.reload)
-    controller = Controller(settings_file.current)
     controller.start()
     gevent.spawn(settings_file.watch)
     ended.wait()
--- a/ochrespan/programs/settings.py
+++ b/ochrespan/programs/settings.py
@@ -142,9 +142,9 @@
     A file that cannot be read is reported in the log, and the settings in force stay.
     """
 
-    def __init__(self, path: Path, on_change: Callable[[Settings], None]) -> None:
+    def __init__(self, path: Path, on_change: Callable[[Settings], None] = lambda settings: None) -> None:
+        self.on_change = on_change
         self._path = path
-        self._on_change = on_change
         self.current = read_settings(path)
         self._stamp = self._read_stamp()
 
@@ -170,7 +170,7 @@
         if fresh != self.current:
             self.current = fresh
             log.info("settings changed path=%s", self._path)
-            self._on_change(fresh)
+            self.on_change(fresh)
 
     def _read_stamp(self) -> tuple[int, int, int] | None:
         try:
--- a/tests/control_plane_fakes.py
+++ b/tests/control_plane_fakes.py
@@ -99,5 +99,8 @@
     def applied_index(self, shard: int) -> int:
         return self.applied[shard]
 
+    def voters(self, shard: int) -> set[Address]:
+        return set(self.log.members)
+
     def stop(self) -> None:
         self.call_server.stop()
--- a/tests/control_plane_world.py
+++ b/tests/control_plane_world.py
@@ -64,7 +64,7 @@
         self.node = ControllerNode(
             node=name, zone=f"zone-of-{name}", address=self.groups.address, heartbeat_s=HEARTBEAT_S,
             groups=self.groups, state=self.state, call_server=self.groups.call_server,
-            known_controllers=lambda: list(log.members),
+            seeds=list,
         )
         self.groups.on_applied.append(self.node.applied)
         self.groups.on_restored.append(self.node.restored)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -138,3 +138,25 @@
     controller.put_config(configuration(7), 6)
     router.wait(lambda table: table.version == 7)
     assert "the reader's own fault" in caplog.text
+
+
+def test_a_router_follows_a_controller_whose_state_jumped_ahead_by_a_snapshot(world, routers):
+    leader, behind = world.controllers[0], world.controllers[1]
+    leader.put_config(configuration(5), 0)
+    router = Router(world)
+    router.client.stop()
+    router.client._choice = type(router.client._choice)("edge-1", "z", [behind.groups.address])
+    routers.append(router)
+    router.client.start()
+    router.wait(lambda table: table.version == 5)
+    del world.log.members[behind.groups.address]  # it misses what follows
+    leader.put_config(configuration(6), 5)
+    leader.put_config(configuration(8, route("late")), 6)
+    behind.state.configuration.restore(leader.state.configuration.snapshot())
+    behind.groups.applied[0] = leader.groups.applied[0]
+    behind.node.restored(0)
+    table = router.wait(lambda table: table.version == 8)
+    assert set(table.configuration.routes) == {"late"}
+    world.log.members[behind.groups.address] = behind.groups
+    leader.put_config(configuration(9), 8)
+    router.wait(lambda table: table.version == 9)
