Replica host: Raft groups of all shards in one process, two-slot storage, learners and replacement

The control plane needs a state that is never lost before its machines can join. Single-step changes of members were ruled out for exchanges: with one voter dead they need the newcomer for every commitment or leave two voters, the joint form needs the living voters alone. Four tests run hosts over loopback: a command everywhere, kill of all and of the leader, planned hand-over, replacement at another address and a second loss.

--- /dev/null
+++ b/ochrespan/control_plane/replica_host.py
@@ -0,0 +1,305 @@
+"""Runs the replicas of all shards in one process: their clock, connections, disk and state machines."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import gevent
+from gevent.event import AsyncResult, Event
+
+from ..coordination.core import Role
+from ..coordination.formation import FormationSettings
+from ..coordination.group_table import GroupTable
+from ..coordination.messages import Address, Entry, EntryKind
+from ..storage.files import PosixDirectory
+from ..storage.store import Store
+from ..transport import rpc
+from ..transport.tcp import Connection, format_address
+from .disk_writer import RETRY_S, DiskWriter
+from .peer_links import PeerLinks
+from .raft_wire import RaftBatch, pack_envelope, pack_image, pack_record, replay, unpack_envelope, unpack_image
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.06
+MAINTAIN_S = 0.5
+SLOW_DISK_S = 1.5  # a write that takes longer makes this process hand over what it leads
+STOP_S = 1.0
+MEGABYTE = 1024 * 1024
+
+
+class StateMachine(Protocol):
+    """A shard's state. `apply` has to be deterministic."""
+
+    def apply(self, index: int, command: bytes) -> Any:
+        """Carries a committed command out; the result goes to its proposer."""
+
+    def snapshot(self) -> bytes: ...
+
+    def restore(self, data: bytes) -> None: ...
+
+
+class NoVerdict(Exception):
+    """The command may or may not be applied: the leader was lost, time ran out, or there is no quorum."""
+
+
+class NotLeader(Exception):
+    """The command was surely not appended here. `leader`: who may lead, if known."""
+
+    def __init__(self, leader: Address | None) -> None:
+        super().__init__(f"the leader is {format_address(leader) if leader else 'unknown'}")
+        self.leader = leader
+
+
+@dataclass(frozen=True, slots=True)
+class HostSettings:
+    """Addresses are those for other processes of the fleet: the IP and the first port of `port_range`."""
+
+    address: Address
+    seeds: tuple[Address, ...]
+    data_dir: str
+    disk_mb: int
+    bootstrap: bool
+    tolerated_machines: int  # machine losses at once that lose nothing
+    node: str = ""
+
+
+class ReplicaHost:
+    """The replicas of one process. Callbacks run in its greenlet and must not wait."""
+
+    def __init__(self, settings: HostSettings, machines: Mapping[int, StateMachine]) -> None:
+        self.settings = settings
+        self.call_server = rpc.CallServer(settings.address)
+        self.on_applied: Callable[[int, int, bytes, Any], None] = lambda shard, index, command, result: None
+        self.on_restored: Callable[[int], None] = lambda shard: None
+        self.on_leadership: Callable[[int, bool], None] = lambda shard, leads: None
+        self._machines = dict(machines)
+        self._table: GroupTable | None = None
+        self._disk: DiskWriter | None = None
+        self._links = PeerLinks()
+        self._waiting: dict[tuple[int, int], tuple[int, AsyncResult]] = {}
+        self._leading: set[int] = set()
+        self._wake = Event()
+        self._greenlets: list[gevent.Greenlet] = []
+        self._stopping = False
+
+    # For the control plane
+
+    def start(self) -> None:
+        """Begins in the background: the disk is read first, and may take its time."""
+        self.call_server.on_push(RaftBatch, self._received)
+        self.call_server.start()
+        self._greenlets.append(gevent.spawn(self._open))
+
+    def stop(self) -> None:
+        """Hands over what this process leads, within about a second, and ends."""
+        self._stopping = True
+        if self._table is not None:
+            self._table.leave(time.monotonic())
+            self._wake.set()
+            deadline = time.monotonic() + STOP_S
+            while self._leads_anything() and time.monotonic() < deadline:
+                gevent.sleep(TICK_S / 3)
+                self._hand_over_all()
+        gevent.killall(self._greenlets, block=False)
+        if self._disk is not None:
+            self._disk.stop()
+        self._links.close()
+        self.call_server.stop()
+
+    def propose(self, shard: int, command: bytes, timeout: float) -> Any:
+        """The result of the command after its commitment. Raises NotLeader or NoVerdict."""
+        placed = self._table and self._table.replicas[shard].propose(time.monotonic(), command)
+        if not placed:
+            raise NotLeader(self.leader(shard))
+        index, term = placed
+        result = AsyncResult()
+        self._waiting[shard, index] = (term, result)
+        self._wake.set()
+        try:
+            return result.get(timeout=timeout)
+        except gevent.Timeout as error:
+            raise NoVerdict("not committed in time") from error
+        finally:
+            self._waiting.pop((shard, index), None)
+
+    def read_barrier(self, shard: int, timeout: float) -> None:
+        """Returns when the state here holds all that was acknowledged before. Raises NotLeader or NoVerdict."""
+        result = AsyncResult()
+        if not self._table or not self._table.replicas[shard].read(time.monotonic(), result):
+            raise NotLeader(self.leader(shard))
+        self._wake.set()
+        try:
+            result.get(timeout=timeout)
+        except gevent.Timeout as error:
+            raise NoVerdict("not confirmed in time") from error
+
+    def leader(self, shard: int) -> Address | None:
+        member = self._table and self._table.replicas[shard].leader
+        return member.address if member else None
+
+    def voters(self, shard: int) -> set[Address]:
+        """The addresses of the shard's voters as far as known here, those that are being replaced among them."""
+        if self._table is None:
+            return set()
+        members = self._table.replicas[shard].core.configuration.members()
+        return {member.address for member in members.values()}
+
+    def is_leader(self, shard: int) -> bool:
+        return self._table is not None and self._table.replicas[shard].is_leader
+
+    def leader_since(self, shard: int) -> float | None:
+        """By the steady clock, since when this process leads the shard."""
+        return self._table.replicas[shard].core.leader_since if self._table else None
+
+    def quorum_age(self, shard: int) -> float:
+        """Seconds since this process knew that the shard's group had a majority."""
+        return self._table.replicas[shard].quorum_age(time.monotonic()) if self._table else float("inf")
+
+    def applied_index(self, shard: int) -> int:
+        return self._table.replicas[shard].core.applied_index if self._table else 0
+
+    # Start
+
+    def _open(self) -> None:
+        directory = PosixDirectory(self.settings.data_dir)
+        store = Store(directory)
+        recovered = None
+        while recovered is None:
+            try:
+                recovered = gevent.get_hub().threadpool.apply(store.open)
+            except OSError as error:
+                log.error("disk not readable error=%s", error)
+                gevent.sleep(RETRY_S)
+        image = unpack_image(recovered.image) if recovered.image is not None else []
+        identity, durable = replay([*image, *recovered.records])
+        settings = self.settings
+        formation = FormationSettings(settings.address, settings.seeds, settings.bootstrap, settings.tolerated_machines)
+        for shard, state in durable.items():
+            if state.log.snapshot.index and shard in self._machines:
+                self._machines[shard].restore(state.log.snapshot.data)
+                self.on_restored(shard)
+        self._table = GroupTable(
+            formation, tuple(self._machines), identity, durable, random.SystemRandom(), time.monotonic()
+        )
+        log.info("replica host started node=%s replica=%d empty=%s bootstrap=%s",
+                 settings.node, self._table.id, identity is None, settings.bootstrap)
+        disk_bytes = settings.disk_mb * MEGABYTE
+        self._disk = DiskWriter(store, disk_bytes, self._take_records, self._durable, self._image)
+        self._disk.start()
+        self._greenlets += [gevent.spawn(self._tick), gevent.spawn(self._run)]
+
+    # Events
+
+    def _received(self, _connection: Connection, batch: RaftBatch) -> None:
+        if self._table is None:
+            return
+        try:
+            envelope = unpack_envelope(batch)
+        except (ValueError, TypeError, IndexError) as error:
+            log.warning("bad raft message peer=%s:%s error=%r", batch.host, batch.port, error)
+            return
+        self._links.heard(envelope.address)
+        self._table.receive(time.monotonic(), envelope)
+        self._wake.set()
+
+    def _tick(self) -> None:
+        maintain_at = 0.0
+        while True:
+            now = time.monotonic()
+            self._judge_disk(now)
+            self._table.tick(now)
+            self._wake.set()
+            if now >= maintain_at:
+                self._links.maintain()
+                maintain_at = now + MAINTAIN_S
+            gevent.sleep(TICK_S)
+
+    def _run(self) -> None:
+        while True:
+            self._wake.wait()
+            self._wake.clear()
+            self._apply()
+            for address, envelope in self._table.take_envelopes():
+                self._links.send(address, pack_envelope(envelope))
+            self._disk.wake()
+
+    def _judge_disk(self, now: float) -> None:
+        slow = self._disk.pending_for > SLOW_DISK_S or self._disk.failed
+        replica = next(iter(self._table.replicas.values()))
+        if slow != replica.core.abstaining:
+            log.warning("disk in trouble, handing over" if slow else "disk keeps up again")
+            self._table.abstain(now, slow)
+
+    # Disk
+
+    def _take_records(self) -> list[bytes]:
+        return [pack_record(change) for change in self._table.take_changes()]
+
+    def _durable(self) -> None:
+        self._table.written(time.monotonic())
+        self._wake.set()
+
+    def _image(self) -> bytes:
+        for shard, replica in self._table.replicas.items():
+            if replica.core.applied_index > replica.core.log.snapshot.index:
+                replica.compact(self._machines[shard].snapshot())
+        images = [replica.image() for replica in self._table.replicas.values()]
+        return pack_image(self._table.formation.identity, images)
+
+    # State machines
+
+    def _apply(self) -> None:
+        for shard, replica in self._table.replicas.items():
+            if restored := replica.take_restored():
+                self._restore(shard, restored.index, restored.data)
+            for index, entry in replica.take_committed():
+                self._apply_entry(shard, index, entry)
+            for result in replica.take_reads():
+                result.set(None)
+            failed, replica.failed_reads = replica.failed_reads, []
+            for result in failed:
+                result.set_exception(NoVerdict("leadership was lost"))
+            self._note_leadership(shard, replica.is_leader)
+
+    def _restore(self, shard: int, last_index: int, data: bytes) -> None:
+        self._machines[shard].restore(data)
+        for key in [key for key in self._waiting if key[0] == shard and key[1] <= last_index]:
+            self._waiting.pop(key)[1].set_exception(NoVerdict("replaced by a snapshot"))
+        self.on_restored(shard)
+
+    def _apply_entry(self, shard: int, index: int, entry: Entry) -> None:
+        result = None
+        if entry.kind == EntryKind.COMMAND:
+            result = self._machines[shard].apply(index, entry.data)
+            self.on_applied(shard, index, entry.data, result)
+        term, waiting = self._waiting.pop((shard, index), (0, None))
+        if waiting is None:
+            return
+        if term == entry.term:
+            waiting.set(result)
+        else:
+            waiting.set_exception(NoVerdict("leadership was lost before commitment"))
+
+    def _note_leadership(self, shard: int, leads: bool) -> None:
+        if leads != (shard in self._leading):
+            (self._leading.add if leads else self._leading.discard)(shard)
+            log.info("leadership shard=%d leads=%s term=%d", shard, leads, self._table.replicas[shard].core.term)
+            self.on_leadership(shard, leads)
+
+    # Planned end
+
+    def _leads_anything(self) -> bool:
+        return any(replica.core.role is Role.LEADER for replica in self._table.replicas.values())
+
+    def _hand_over_all(self) -> None:
+        now = time.monotonic()
+        for replica in self._table.replicas.values():
+            if replica.core.role is Role.LEADER and not replica.handing_over:
+                replica.hand_over(now)
+        self._wake.set()
--- /dev/null
+++ b/ochrespan/coordination/core.py
@@ -0,0 +1,174 @@
+"""What the parts of a replica share: term, vote, role, log, and what is to be sent, written and applied."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .configuration import Configuration
+from .log import ReplicaLog, Snapshot
+from .messages import AppendReply, Entry, Message
+
+
+class Role(Enum):
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Spans in seconds of the steady clock."""
+
+    heartbeat_s: float = 0.12
+    election_min_s: float = 0.6
+    election_max_s: float = 1.2
+    resend_s: float = 0.3
+    voter_silence_s: float = 1.0
+    replaced_silence_s: float = 0.3  # the same for a voter whose address another id has taken
+    learner_silence_s: float = 3.0
+    hand_over_s: float = 0.6
+
+
+@dataclass(slots=True)
+class DurableState:
+    """What a replica needs from its disk when it starts."""
+
+    term: int = 0
+    vote: int = 0
+    log: ReplicaLog = field(default_factory=ReplicaLog)
+
+
+@dataclass(slots=True)
+class DurableChange:
+    """What is to be written: term and vote, then a snapshot that replaces the log, then entries from `first_index` on.
+
+    Entries on the disk from `first_index` on are dropped before `entries` are added.
+    """
+
+    group: int
+    term: int
+    vote: int
+    snapshot: Snapshot | None
+    first_index: int
+    entries: list[Entry]
+
+
+class ReplicaCore:
+    """State of one replica of one group. `now` is set by the caller before each step."""
+
+    def __init__(
+        self, group: int, replica_id: int, timing: Timing, durable: DurableState, source: random.Random
+    ) -> None:
+        self.group, self.id, self.timing, self.random = group, replica_id, timing, source
+        self.now = 0.0
+        self.term, self.vote, self.log = durable.term, durable.vote, durable.log
+        self.role = Role.FOLLOWER
+        self.leader_id = 0
+        self.leader_since: float | None = None
+        self.leader_heard_at = float("-inf")
+        self.quorum_known_at = float("-inf")
+        self.election_deadline = 0.0
+        self.abstaining = False
+        self.commit_index = self.log.snapshot.index
+        self.applied_index = self.log.snapshot.index
+        self.restored: Snapshot | None = None
+        self.outbox: list[tuple[int, Message]] = []
+        self.on_step_down: Callable[[], None] = lambda: None
+        self._held: list[tuple[int, int, Message]] = []  # number of the write that has to be durable first
+        self._last_stamp = 0.0
+        self._writes_begun = 0
+        self._writes_done = 0
+        self._state_dirty = False
+        self._snapshot_dirty = False
+
+    @property
+    def configuration(self) -> Configuration:
+        return self.log.configuration
+
+    @property
+    def is_voter(self) -> bool:
+        return self.configuration.is_voter(self.id)
+
+    def stamp(self) -> float:
+        """A strictly increasing reading of the steady clock."""
+        self._last_stamp = max(self.now, self._last_stamp + 1e-6)
+        return self._last_stamp
+
+    @property
+    def preferred(self) -> bool:
+        """Whether this replica should lead, so that the leaders of many groups spread over the voters."""
+        voters = self.configuration.voters
+        return bool(voters) and voters[self.group % len(voters)].id == self.id
+
+    def reset_election_deadline(self) -> None:
+        """A leader was heard: the preferred successor waits the shortest span, the others longer."""
+        shortest, longest = self.timing.election_min_s, self.timing.election_max_s
+        middle = shortest + (longest - shortest) / 4
+        span = (shortest, middle) if self.preferred else (middle, longest)
+        self.election_deadline = self.now + self.random.uniform(*span)
+
+    def reset_campaign_deadline(self) -> None:
+        """A campaign has begun: it is tried again sooner than a leader's silence is believed."""
+        shortest = self.timing.election_min_s
+        self.election_deadline = self.now + self.random.uniform(shortest / 4, shortest)
+
+    def send(self, to: int, message: Message) -> None:
+        self.outbox.append((to, message))
+
+    def send_when_durable(self, to: int, message: Message) -> None:
+        """Holds a message until all that stands in memory now has been written."""
+        needed = self._writes_begun + self.needs_write()
+        if needed > self._writes_done:
+            self._held.append((needed, to, message))
+        else:
+            self.outbox.append((to, message))
+
+    def enter_term(self, term: int, vote: int = 0) -> None:
+        self.term, self.vote = term, vote
+        self._state_dirty = True
+
+    def cast_vote(self, candidate: int) -> None:
+        self.vote = candidate
+        self._state_dirty = True
+
+    def become_follower(self, term: int, leader_id: int) -> None:
+        led = self.role is Role.LEADER
+        if term > self.term:
+            self.enter_term(term)
+        self._held = [held for held in self._held if not isinstance(held[2], AppendReply) or held[2].term == term]
+        self.role, self.leader_id, self.leader_since = Role.FOLLOWER, leader_id, None
+        self.reset_election_deadline()
+        if led:
+            self.on_step_down()
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Takes a snapshot in place of the log and of the state machine's state."""
+        self.log.reset(snapshot)
+        self._snapshot_dirty = True
+        self.commit_index = max(self.commit_index, snapshot.index)
+        self.applied_index = snapshot.index
+        self.restored = snapshot
+
+    def needs_write(self) -> bool:
+        return self._state_dirty or self._snapshot_dirty or self.log.has_unwritten()
+
+    def take_change(self) -> DurableChange | None:
+        """What is to be written now; `written` tells when it is durable. One write is under way at a time."""
+        if not self.needs_write():
+            return None
+        self._writes_begun += 1
+        snapshot = self.log.snapshot if self._snapshot_dirty else None
+        first_index, entries = self.log.take_unwritten()
+        self._state_dirty = self._snapshot_dirty = False
+        return DurableChange(self.group, self.term, self.vote, snapshot, first_index, entries)
+
+    def written(self) -> None:
+        """The write that `take_change` began is durable: what waited for it may be sent."""
+        self._writes_done = self._writes_begun
+        self.log.written()
+        self.outbox += [(to, message) for needed, to, message in self._held if needed <= self._writes_done]
+        self._held = [held for held in self._held if held[0] > self._writes_done]
--- /dev/null
+++ b/ochrespan/coordination/log.py
@@ -0,0 +1,137 @@
+"""The log of one replica in memory: a snapshot and the entries after it, and how much of it is durable."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .configuration import Configuration
+from .messages import Entry, EntryKind
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """A state machine's state after `index`, with the group's configuration there. Index 0 is the founding."""
+
+    index: int
+    term: int
+    configuration: Configuration
+    data: bytes
+
+
+EMPTY_SNAPSHOT = Snapshot(0, 0, Configuration(), b"")
+
+
+class ReplicaLog:
+    """Entries from `first_index` on. A configuration is in force as soon as its entry is in the log."""
+
+    def __init__(self, snapshot: Snapshot = EMPTY_SNAPSHOT, entries: list[Entry] | None = None) -> None:
+        self.snapshot = snapshot
+        self._start = snapshot.index  # index of the last entry that is no longer kept
+        self._start_term = snapshot.term
+        self._entries: list[Entry] = []
+        self._configurations: list[tuple[int, Configuration]] = [(snapshot.index, snapshot.configuration)]
+        for entry in entries or []:
+            self._push(entry)
+        self.stable_index = self.last_index
+        self._writing_to = self.last_index  # last index covered by the write that is under way
+        self._written_to = self.last_index  # last index that was handed out for writing
+
+    @property
+    def first_index(self) -> int:
+        return self._start + 1
+
+    @property
+    def last_index(self) -> int:
+        return self._start + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        return self._entries[-1].term if self._entries else self._start_term
+
+    @property
+    def configuration(self) -> Configuration:
+        return self._configurations[-1][1]
+
+    @property
+    def configuration_index(self) -> int:
+        return self._configurations[-1][0]
+
+    def configuration_at(self, index: int) -> Configuration:
+        return next(configuration for at, configuration in reversed(self._configurations) if at <= index)
+
+    def term_at(self, index: int) -> int | None:
+        """The term of an entry; None where it isn't known (compacted, or beyond the end)."""
+        if index == self._start:
+            return self._start_term
+        if self._start < index <= self.last_index:
+            return self._entries[index - self._start - 1].term
+        return None
+
+    def entry(self, index: int) -> Entry:
+        return self._entries[index - self._start - 1]
+
+    def slice(self, first: int, max_entries: int, max_bytes: int) -> list[Entry]:
+        """Entries from `first` on, at least one if there is one."""
+        chosen, size = [], 0
+        at = first - self._start - 1
+        for entry in self._entries[at : at + max_entries]:
+            size += len(entry.data)
+            if chosen and size > max_bytes:
+                break
+            chosen.append(entry)
+        return chosen
+
+    def append(self, entry: Entry) -> int:
+        self._push(entry)
+        return self.last_index
+
+    def merge(self, previous_index: int, entries: list[Entry]) -> None:
+        """Takes a leader's entries: what conflicts is dropped, what is there stays."""
+        for index, entry in enumerate(entries, previous_index + 1):
+            if index <= self._start:
+                continue
+            if index <= self.last_index:
+                if self.term_at(index) == entry.term:
+                    continue
+                self._truncate(index)
+            self._push(entry)
+
+    def reset(self, snapshot: Snapshot) -> None:
+        """Replaces everything by a snapshot, which is durable only after the next write."""
+        self.__init__(snapshot)
+
+    def compact(self, snapshot: Snapshot, keep: int) -> None:
+        """Replaces entries up to `snapshot.index` by it, except the last `keep` of them."""
+        start = max(self._start, min(snapshot.index - keep, self.stable_index))
+        self._start_term = self.term_at(start) or 0
+        del self._entries[: start - self._start]
+        self._start = start
+        self.snapshot = snapshot
+        kept = [pair for pair in self._configurations if pair[0] > start]
+        self._configurations = [(start, self.configuration_at(start)), *kept]
+
+    def take_unwritten(self) -> tuple[int, list[Entry]]:
+        """The first index and the entries that no write has covered; the next `written` is about them."""
+        first = self._written_to + 1
+        self._written_to = self._writing_to = self.last_index
+        return first, self._entries[first - self._start - 1 :]
+
+    def has_unwritten(self) -> bool:
+        return self._written_to < self.last_index
+
+    def written(self) -> None:
+        """The write that was under way is durable."""
+        self.stable_index = max(self.stable_index, self._writing_to)
+
+    def _push(self, entry: Entry) -> None:
+        self._entries.append(entry)
+        if entry.kind == EntryKind.CONFIGURATION:
+            self._configurations.append((self.last_index, Configuration.from_bytes(entry.data)))
+
+    def _truncate(self, index: int) -> None:
+        del self._entries[index - self._start - 1 :]
+        while self._configurations[-1][0] >= index:
+            self._configurations.pop()
+        self.stable_index = min(self.stable_index, index - 1)
+        self._writing_to = min(self._writing_to, index - 1)
+        self._written_to = min(self._written_to, index - 1)
--- /dev/null
+++ b/tests/core_hosts.py
@@ -0,0 +1,81 @@
+"""Replica hosts on loopback for tests: a machine that keeps its commands, and events in place of sleeps."""
+
+from __future__ import annotations
+
+import socket
+import time
+
+import gevent
+import ormsgpack
+
+from ochrespan.control_plane.replica_host import HostSettings, NotLeader, NoVerdict, ReplicaHost
+
+WAIT_S = 15.0
+
+
+class Journal:
+    """A state machine that keeps its commands in order and answers with their count."""
+
+    def __init__(self) -> None:
+        self.commands: list[bytes] = []
+
+    def apply(self, index: int, command: bytes) -> int:
+        self.commands.append(command)
+        return len(self.commands)
+
+    def snapshot(self) -> bytes:
+        return ormsgpack.packb(self.commands)
+
+    def restore(self, data: bytes) -> None:
+        self.commands = ormsgpack.unpackb(data)
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def make_host(folder, number: int, port: int, seeds=(1, 2, 3), bootstrap=True, shards=(0, 1, 2)) -> ReplicaHost:
+    path = folder / str(number)
+    path.mkdir(exist_ok=True)
+    settings = HostSettings((f"127.0.0.{number}", port), tuple((f"127.0.0.{seed}", port) for seed in seeds),
+                            str(path), 64, bootstrap, 1, f"core-{number}")
+    host = ReplicaHost(settings, {shard: Journal() for shard in shards})
+    host.start()
+    return host
+
+
+def until(condition, what: str):
+    """Lets the greenlets run until the condition holds."""
+    deadline = time.monotonic() + WAIT_S
+    while not (value := condition()):
+        assert time.monotonic() < deadline, f"{what} hasn't come"
+        gevent.sleep(0.005)
+    return value
+
+
+def leader_of(hosts, shard: int) -> ReplicaHost:
+    return until(lambda: next((host for host in hosts if host.is_leader(shard)), None), f"leader of shard {shard}")
+
+
+def propose(hosts, shard: int, command: bytes):
+    """Proposes wherever the leader is until there is a verdict."""
+    deadline = time.monotonic() + WAIT_S
+    while time.monotonic() < deadline:
+        for host in hosts:
+            try:
+                return host.propose(shard, command, 2.0)
+            except (NotLeader, NoVerdict):
+                continue
+        gevent.sleep(0.01)
+    raise AssertionError("no leader took the command")
+
+
+def kill(host: ReplicaHost) -> None:
+    """Ends a host without hand-over, as a kill of its process would."""
+    gevent.killall(host._greenlets, block=True)
+    if host._disk is not None:
+        host._disk.stop()
+    host._links.close()
+    host.call_server.stop()
--- /dev/null
+++ b/tests/test_replica_host.py
@@ -0,0 +1,72 @@
+"""Replica hosts over loopback: real sockets and disks, three processes' worth of replicas in one."""
+
+import gevent
+import pytest
+
+from ochrespan.control_plane.replica_host import NotLeader
+
+from .core_hosts import Journal, free_port, kill, leader_of, make_host, propose, until
+
+
+@pytest.fixture
+def core(tmp_path):
+    port = free_port()
+    hosts = {number: make_host(tmp_path, number, port) for number in (1, 2, 3)}
+    yield tmp_path, port, hosts
+    for host in hosts.values():
+        kill(host)
+
+
+def commands(host, shard: int) -> list[bytes]:
+    machine: Journal = host._machines[shard]
+    return machine.commands
+
+
+def test_a_command_reaches_every_replica_and_its_result_the_proposer(core):
+    _, _, hosts = core
+    leader = leader_of(hosts.values(), 0)
+    assert leader.propose(0, b"one", 5.0) == 1
+    assert leader.propose(0, b"two", 5.0) == 2
+    until(lambda: all(commands(host, 0) == [b"one", b"two"] for host in hosts.values()), "command everywhere")
+    leader.read_barrier(0, 5.0)
+    other = next(host for host in hosts.values() if host is not leader)
+    with pytest.raises(NotLeader) as caught:
+        other.propose(0, b"three", 1.0)
+    assert caught.value.leader == leader.settings.address
+
+
+def test_commands_survive_the_kill_of_all_and_of_the_leader(core):
+    folder, port, hosts = core
+    propose(hosts.values(), 1, b"one")
+    for host in hosts.values():
+        kill(host)
+    hosts.update({number: make_host(folder, number, port, bootstrap=False) for number in (1, 2, 3)})
+    propose(hosts.values(), 1, b"two")
+    killed = next(number for number, host in hosts.items() if host is leader_of(hosts.values(), 1))
+    kill(hosts.pop(killed))
+    propose(hosts.values(), 1, b"three")
+    assert all(commands(host, 1)[:2] == [b"one", b"two"] for host in hosts.values())
+
+
+def test_a_planned_end_hands_leadership_over(core):
+    _, _, hosts = core
+    leader = leader_of(hosts.values(), 2)
+    others = [host for host in hosts.values() if host is not leader]
+    propose(hosts.values(), 2, b"one")
+    stopped = gevent.spawn(leader.stop)
+    leader_of(others, 2)
+    stopped.join()
+    assert not leader.is_leader(2)
+
+
+def test_a_replacement_at_another_address_takes_the_place_of_a_lost_voter(core):
+    folder, port, hosts = core
+    propose(hosts.values(), 0, b"one")
+    kill(hosts.pop(3))
+    hosts[4] = make_host(folder, 4, port, bootstrap=False)
+    voters = {hosts[number].settings.address for number in (1, 2, 4)}
+
+    until(lambda: all(hosts[4].voters(shard) == voters for shard in (0, 1, 2)), "replacement")
+    kill(hosts.pop(2))
+    propose(hosts.values(), 0, b"two")
+    until(lambda: commands(hosts[4], 0) == [b"one", b"two"], "both commands at the replacement")
