Feed client: takes a node's name, zone and seeds in place of a settings map

The router hands over these three values, and a client that reads a settings map would know more than it needs.

--- a/ochrespan/control_plane/feed_client.py
+++ b/ochrespan/control_plane/feed_client.py
@@ -35,7 +35,6 @@
     with_whole_configuration,
     with_whole_shard,
 )
-from .peer_addresses import PeerSettings, seed_peer_addresses
 
 log = logging.getLogger(__name__)
 
@@ -55,13 +54,13 @@
 class FeedClient:
     """`table` is None until a first complete state with a configuration has arrived."""
 
-    def __init__(self, settings: PeerSettings, on_change: OnChange | None = None) -> None:
+    def __init__(self, node: str, zone: str, seeds: list[Address], on_change: OnChange | None = None) -> None:
         self.table: FleetTable | None = None
         self.controller: Address | None = None
         self.on_change = on_change
-        self._node = settings["node"]
-        self._zone = settings["zone"]
-        self._choice = ControllerChoice(self._node, self._zone, seed_peer_addresses(settings))
+        self._node = node
+        self._zone = zone
+        self._choice = ControllerChoice(node, zone, seeds)
         self._draft = FleetTable()  # what is known, also before it is good enough to serve by
         self._offsets: dict[int, int] = {}
         self._complete_since: float | None = None
@@ -76,9 +75,9 @@
         if self._greenlet is not None:
             self._greenlet.kill()
 
-    def settings_changed(self, settings: PeerSettings) -> None:
-        """The settings may name other seeds."""
-        self._choice.add_seeds(seed_peer_addresses(settings))
+    def seeds_changed(self, seeds: list[Address]) -> None:
+        """The settings name other seeds."""
+        self._choice.add_seeds(seeds)
 
     def _run(self) -> None:
         while True:
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -16,10 +16,9 @@
 class Router:
     """A feed client, the tables that it was given, and a way to wait for one of them."""
 
-    def __init__(self, world: World, node: str = "edge-1", controllers: int = 1) -> None:
-        addresses = world.addresses()[:controllers]
-        self.client = FeedClient({"node": node, "zone": "z", "ip": "127.0.0.1", "seeds": [], "port_range": [1, 2]})
-        self.client._choice.add_seeds(addresses)
+    def __init__(self, world: World, node: str = "edge-1", controllers: int = 1, first: int = 0) -> None:
+        addresses = world.addresses()[first : first + controllers]
+        self.client = FeedClient(node, "z", addresses)
         self.history: list[FleetTable] = []
         self.changes: list[FleetChange] = []
         self._waiting: list[tuple[Callable[[FleetTable], bool], Event]] = []
@@ -143,11 +142,8 @@
 def test_a_router_follows_a_controller_whose_state_jumped_ahead_by_a_snapshot(world, routers):
     leader, behind = world.controllers[0], world.controllers[1]
     leader.put_config(configuration(5), 0)
-    router = Router(world)
-    router.client.stop()
-    router.client._choice = type(router.client._choice)("edge-1", "z", [behind.groups.address])
+    router = Router(world, first=1)
     routers.append(router)
-    router.client.start()
     router.wait(lambda table: table.version == 5)
     del world.log.members[behind.groups.address]  # it misses what follows
     leader.put_config(configuration(6), 5)
