--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -16,10 +16,9 @@
 class Router:
     """A feed client, the tables that it was given, and a way to wait for one of them."""
 
-    def __init__(self, world: World, node: str = "edge-1", controllers: int = 1) -> None:
-        addresses = world.addresses()[:controllers]
-        self.client = FeedClient({"node": node, "zone": "z", "ip": "127.0.0.1", "seeds": [], "port_range": [1, 2]})
-        self.client._choice.add_seeds(addresses)
+    def __init__(self, world: World, node: str = "edge-1", controllers: int = 1, first: int = 0) -> None:
+        addresses = world.addresses()[first : first + controllers]
+        self.client = FeedClient(node, "z", addresses)
         self.history: list[FleetTable] = []
         self.changes: list[FleetChange] = []
         self._waiting: list[tuple[Callable[[FleetTable], bool], Event]] = []
@@ -138,3 +137,22 @@
     controller.put_config(configuration(7), 6)
     router.wait(lambda table: table.version == 7)
     assert "the reader's own fault" in caplog.text
+
+
+def test_a_router_follows_a_controller_whose_state_jumped_ahead_by_a_snapshot(world, routers):
+    leader, behind = world.controllers[0], world.controllers[1]
+    leader.put_config(configuration(5), 0)
+    router = Router(world, first=1)
+    routers.append(router)
+    router.wait(lambda table: table.version == 5)
+    del world.log.members[behind.groups.address]  # it misses what follows
+    leader.put_config(configuration(6), 5)
+    leader.put_config(configuration(8, route("late")), 6)
+    behind.state.configuration.restore(leader.state.configuration.snapshot())
+    behind.groups.applied[0] = leader.groups.applied[0]
+    behind.node.restored(0)
+    table = router.wait(lambda table: table.version == 8)
+    assert set(table.configuration.routes) == {"late"}
+    world.log.members[behind.groups.address] = behind.groups
+    leader.put_config(configuration(9), 8)
+    router.wait(lambda table: table.version == 9)
