--- a/ochrespan/data_plane/attempt.py
+++ b/ochrespan/data_plane/attempt.py
@@ -12,7 +12,7 @@
 from .wakeup import Wakeup
 from .watched_socket import ignore_event
 
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 1.0  # to have a connection, the wait for room included
 
 
 class AttemptEnded(Exception):
@@ -83,24 +83,25 @@
             self._pool.discard(connection)
 
     def _connect(self, unsafe: bool) -> ServerConnection:
-        connection = self._take_connection(unsafe)
+        until = self.sent_at + CONNECT_TIMEOUT_S
+        connection = self._take_connection(unsafe, until)
         connection.socket.on_event = self._wakeup.notify
         self._connection = connection
         if not connection.requests:
             connection.socket.watch_writable()
-            self._wait(lambda: not connection.socket.waits_for_writable)
+            self._wait(lambda: not connection.socket.waits_for_writable, until)
             if error := connection.socket.connect_error():
                 raise OSError(error, "connection refused")
         return connection
 
-    def _take_connection(self, unsafe: bool) -> ServerConnection:
+    def _take_connection(self, unsafe: bool, until: float) -> ServerConnection:
         pool = self._pool
         connection = pool.take(unsafe)
         if connection is not None:
             return connection
         pool.wait_for_room(self._wakeup)
         try:
-            self._wait(lambda: pool.has_room)
+            self._wait(lambda: pool.has_room, until)
         finally:
             pool.stop_waiting(self._wakeup)
         connection = pool.take(unsafe)
@@ -121,12 +122,12 @@
                 self._wakeup.wait()
             rest = rest[socket.send_some(rest) :]
 
-    def _wait(self, condition: Callable[[], bool]) -> None:
-        """Waits for `condition`; raises AttemptEnded where it takes too long to open a connection."""
+    def _wait(self, condition: Callable[[], bool], until: float) -> None:
+        """Waits for `condition`; raises AttemptEnded where that takes too long."""
         if condition():
             return
         self._expired = False
-        deadline = self._deadlines.schedule(time.monotonic() + CONNECT_TIMEOUT_S, self._expire)
+        deadline = self._deadlines.schedule(until, self._expire)
         try:
             while not condition():
                 if interruption := self._interruption():
--- a/ochrespan/data_plane/router_node.py
+++ b/ochrespan/data_plane/router_node.py
@@ -54,7 +54,7 @@
         self._pools = ServerPools(deadlines)
         self._front = Front(ExchangeTools(self._dispatcher, self._pools, deadlines), self._table_is_fresh)
         max_clients = max(16, int((max_descriptors - KEPT_DESCRIPTORS) * CLIENT_SHARE))
-        self._ingress = IngressServer(front, self._front, deadlines, max_clients)
+        self.ingress = IngressServer(front, self._front, deadlines, max_clients)
         self._readiness = ReadinessServer(ready, self.is_ready)
         self._stopping = False
         self.feed: FeedClient | None = None
@@ -62,7 +62,8 @@
     def start(self) -> None:
         """Begins to listen; requests are refused until there is a table."""
         self._readiness.start()
-        self._ingress.start()
+        self.ingress.start()
+        log.info("listening front=%s:%d", *self.ingress.address[:2])
 
     def is_ready(self) -> bool:
         """Whether new connections are welcome: with a table, until the process is told to stop."""
@@ -82,14 +83,14 @@
         """Stops being ready, serves on for a while, lets what runs end, and closes everything in time."""
         started = time.monotonic()
         self._stopping = True
-        log.info("stopping requests=%d connections=%d", self._dispatcher.running, self._ingress.open_connections)
+        log.info("stopping requests=%d connections=%d", self._dispatcher.running, self.ingress.open_connections)
         gevent.sleep(times.serve_on)
-        self._ingress.drain()
-        self._ingress.close()
-        while self._ingress.open_connections and time.monotonic() < started + times.give_up:
+        self.ingress.drain()
+        self.ingress.close()
+        while self.ingress.open_connections and time.monotonic() < started + times.give_up:
             gevent.sleep(0.05)
-        log.info("stopped requests=%d connections=%d", self._dispatcher.running, self._ingress.open_connections)
-        self._ingress.break_off()
+        log.info("stopped requests=%d connections=%d", self._dispatcher.running, self.ingress.open_connections)
+        self.ingress.break_off()
         self._pools.close()
         gevent.sleep(0)  # requests that were broken off tell their servers
         self._readiness.close()
--- /dev/null
+++ b/tests/test_router_process.py
@@ -0,0 +1,200 @@
+"""The router as a process of its own: start, table, readiness, drain on SIGTERM, settings, and a core that is down."""
+
+import os
+import signal
+import sys
+
+import gevent
+import pytest
+import yaml
+from gevent import socket, subprocess
+from gevent.event import Event
+
+from tests.control_plane_world import World, configuration, instance, route
+from tests.fleet_standins import Client, StandInServer, answer, close, event, stream, unused_address
+
+HOST = "models.example"
+GRACE_S = 2.0
+
+
+class RouterProcess:
+    """A router on loopback, whose log lines can be waited for."""
+
+    def __init__(self, directory, seed: tuple[str, int], **other) -> None:
+        self.front, self.ready = unused_address(), unused_address()
+        self.path = directory / "node.yaml"
+        self.settings = {
+            "node": "edge-1", "ip": "127.0.0.1", "zone": "hall-a", "port_range": [seed[1], seed[1]],
+            "seeds": ["127.0.0.1:1"], "listen": {"front": "%s:%d" % self.front, "ready": "%s:%d" % self.ready},
+            "limits": {"max_fds": 1000}, "bounds": {"grace_s": GRACE_S}, **other,
+        }  # fmt: skip
+        self.write()
+        self.lines: list[str] = []
+        self._waiting: list[tuple[str, Event]] = []
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "ochrespan.programs.router"],
+            env={**os.environ, "OCHRESPAN_SETTINGS": str(self.path)}, stderr=subprocess.PIPE, text=True,
+        )  # fmt: skip
+        gevent.spawn(self._read)
+
+    def write(self) -> None:
+        """Puts the settings in place, as the platform does."""
+        fresh = self.path.with_suffix(".new")
+        fresh.write_text(yaml.safe_dump(self.settings))
+        fresh.rename(self.path)
+
+    def wait_for(self, text: str) -> None:
+        event = Event()
+        self._waiting.append((text, event))
+        if not any(text in line for line in self.lines):
+            assert event.wait(10), "".join(self.lines)
+
+    def is_ready(self) -> bool:
+        client = Client(self.ready)
+        client.send(b"GET /api/readyz HTTP/1.1\r\nHost: h\r\n\r\n")
+        status = client.read_answer().status
+        client.close()
+        return status == 200
+
+    def client(self) -> Client:
+        return Client(self.front)
+
+    def signal(self, number: int) -> None:
+        self._process.send_signal(number)
+
+    def exit_code(self) -> int:
+        return self._process.wait(timeout=10)
+
+    def end(self) -> None:
+        if self._process.poll() is None:
+            self._process.kill()
+            self._process.wait()
+
+    def _read(self) -> None:
+        for line in self._process.stderr:
+            self.lines.append(line)
+            for text, event in self._waiting:
+                if text in line:
+                    event.set()
+
+
+@pytest.fixture
+def world():
+    world = World()
+    yield world
+    world.close()
+
+
+@pytest.fixture
+def start(tmp_path, world):
+    started = []
+
+    def start_router(**other) -> RouterProcess:
+        router = RouterProcess(tmp_path, world.addresses()[0], **other)
+        started.append(router)
+        return router
+
+    yield start_router
+    for router in started:
+        router.end()
+
+
+def register(world: World, *servers: StandInServer) -> None:
+    for number, server in enumerate(servers):
+        address = f"127.0.0.1:{server.address[1]}"
+        status, _ = world.controllers[0].put_instance(f"i-{number}", instance(1, address=address))
+        assert status == 200
+
+
+def configure(world: World) -> None:
+    routes = [route("r1", hostname=HOST), route("plain", hostname=HOST, route_type="unsafe")]
+    assert world.controllers[0].put_config(configuration(1, *routes), 0)[0] == 200
+
+
+def test_a_router_is_ready_once_it_has_a_table_and_serves_on_with_the_core_down(world, start):
+    server = StandInServer(answer(b"hi"))
+    router = start()
+    router.wait_for("listening")
+    assert not router.is_ready()
+    client = router.client()
+    client.ask("/plain/x")
+    assert client.read_answer().status == 503
+    register(world, server)
+    configure(world)
+    router.wait_for("configuration in force")
+    assert router.is_ready()
+    client.ask("/plain/x", id="q2")
+    assert client.read_answer().body == b"hi"
+    world.close()
+    router.wait_for("feed lost")
+    assert router.is_ready()
+    client.ask("/plain/x", id="q3")
+    assert client.read_answer().body == b"hi"
+    client.ask("/unknown/x", id="q4")
+    assert client.read_answer().status == 503
+
+
+def test_sigterm_ends_readiness_first_then_connections_and_finishes_what_runs(world, start):
+    go_on = Event()
+    server = StandInServer(stream(1, 2, gate=lambda number: go_on.wait() if number > 1 else None), answer(b"late"))
+    register(world, server)
+    configure(world)
+    router = start()
+    router.wait_for("configuration in force")
+    running, resting = router.client(), router.client()
+    running.ask("/r1/x")
+    running.read_head()
+    assert running.read_chunk() == event(1)
+    router.signal(signal.SIGTERM)
+    router.wait_for("stopping")
+    assert not router.is_ready()
+    resting.ask("/plain/x", id="q2")  # still served
+    assert resting.read_answer().body == b"late"
+    assert resting.is_closed()
+    go_on.set()
+    assert running.read_chunk() == event(2)
+    assert running.read_chunk() == b""
+    assert running.is_closed()
+    assert router.exit_code() == 0
+    with pytest.raises(OSError):
+        socket.create_connection(router.front)
+
+
+def test_what_runs_longer_than_the_grace_is_broken_off_and_its_server_told(world, start):
+    server = StandInServer(stream(1, end=lambda received: received.connection.recv(1) or close(received)))
+    register(world, server)
+    configure(world)
+    router = start()
+    router.wait_for("configuration in force")
+    client = router.client()
+    client.ask("/r1/x")
+    client.read_head()
+    assert client.read_chunk() == event(1)
+    router.signal(signal.SIGTERM)
+    with pytest.raises(ConnectionError):
+        client.read_chunk()
+    assert router.exit_code() == 0
+    assert server.peer_gone.wait(5)
+
+
+@pytest.mark.parametrize("tell", [True, False])
+def test_changed_settings_are_taken_over_with_and_without_a_signal(world, start, tell):
+    router = start()
+    router.wait_for("listening")
+    router.settings["seeds"] = ["127.0.0.1:2"]
+    router.write()
+    if tell:
+        router.signal(signal.SIGHUP)
+    router.wait_for("settings changed")
+    router.path.write_text("node: [")
+    if tell:
+        router.signal(signal.SIGHUP)
+    router.wait_for("settings kept")
+    router.signal(signal.SIGTERM)
+    assert router.exit_code() == 0
+
+
+def test_settings_that_cannot_be_used_are_told_with_place_found_and_allowed(start):
+    router = start(zone=7, listen={"front": "nowhere"})
+    assert router.exit_code() == 78
+    assert any("zone" in line and "found" in line and "allowed" in line for line in router.lines)
