SWIM membership with indirect probes, suspicion, refutation and local health

Both fleet programs need to know which processes live, over datagrams of which a fifth may be lost. All-to-all heartbeats were ruled out: their cost grows with the square of the fleet.

--- /dev/null
+++ b/ochrespan/control_plane/membership.py
@@ -0,0 +1,119 @@
+"""The driver of SWIM membership: its datagrams and its clock, for controllers and routers alike."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from gevent.event import Event
+
+from ..coordination import swim
+from ..coordination.members import FleetMember, News
+from ..transport.codec import message
+from ..transport.tcp import Address, format_address
+from ..transport.udp import DatagramEndpoint
+
+log = logging.getLogger(__name__)
+
+SHORTEST_WAIT_S = 0.01
+
+
+@message("swim")
+@dataclass(slots=True)
+class SwimDatagram:
+    """Kind of message, its plain fields, and its news as rows."""
+
+    kind: int
+    fields: list
+    news: list[list]
+
+
+_KINDS: tuple[type, ...] = (swim.Ping, swim.Ack, swim.Nack, swim.PingRequest, swim.Sync)
+_news_fields = tuple(News.__dataclass_fields__)
+
+
+def pack(value: swim.SwimMessage) -> SwimDatagram:
+    names = [name for name in value.__dataclass_fields__ if name != "news"]
+    rows = [[getattr(item, name) for name in _news_fields] for item in getattr(value, "news", [])]
+    return SwimDatagram(_KINDS.index(type(value)), [getattr(value, name) for name in names], rows)
+
+
+def unpack(datagram: SwimDatagram) -> swim.SwimMessage:
+    """Raises ValueError, TypeError or IndexError where the datagram is malformed."""
+    kind = _KINDS[datagram.kind]
+    news = [News(*row[: len(_news_fields)]) for row in datagram.news]
+    return kind(*datagram.fields) if kind is swim.Nack else kind(*datagram.fields, news)
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipSettings:
+    """`address` and `seeds`: IP and first port of `port_range`."""
+
+    address: Address
+    seeds: tuple[Address, ...]
+    role: str
+    zone: str
+    node: str
+
+
+class MembershipDriver:
+    """Keeps the list of the fleet's living processes. `on_change()` runs after each change of it."""
+
+    def __init__(self, settings: MembershipSettings, on_change: Callable[[], None]) -> None:
+        own = FleetMember(settings.address, settings.role, settings.zone, settings.node)
+        self._on_change = on_change
+        self._swim = swim.Swim(own, settings.seeds, random.SystemRandom(), time.monotonic())
+        self._endpoint = DatagramEndpoint(settings.address, self._received)
+        self._wake = Event()
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        self._endpoint.start()
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Tells the fleet of the planned end."""
+        self._swim.leave()
+        self._send()
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+        self._endpoint.stop()
+
+    def alive(self, role: str | None = None) -> list[FleetMember]:
+        """The living members of a role, or of all, this process among them."""
+        return self._swim.alive(role)
+
+    def _run(self) -> None:
+        while True:
+            self._swim.tick(time.monotonic())
+            self._send()
+            self._tell()
+            self._wake.clear()
+            self._wake.wait(max(SHORTEST_WAIT_S, self._swim.next_at - time.monotonic()))
+
+    def _received(self, datagram: SwimDatagram, peer: Address) -> None:
+        try:
+            value = unpack(datagram)
+        except (ValueError, TypeError, IndexError, AttributeError) as error:
+            log.warning("bad membership message peer=%s error=%r", format_address(peer), error)
+            return
+        expected = self._swim.next_at
+        self._swim.receive(time.monotonic(), peer, value)
+        self._send()
+        self._tell()
+        if self._swim.next_at < expected:
+            self._wake.set()
+
+    def _send(self) -> None:
+        for address, value in self._swim.take_messages():
+            self._endpoint.send(pack(value), address)
+
+    def _tell(self) -> None:
+        if self._swim.take_changed():
+            members = self._swim.alive()
+            log.info("membership members=%d", len(members))
+            self._on_change()
