Decision module as a package: gating, ARR and windows in files of their own

The router needs the same LexAS gating, ARR pick and windows as the present front, and nothing is to be written twice. policy.py became policy/front.py; the three parts moved to gating.py, arr.py and window.py, and upkeep of the node table and of turns, which decides nothing, to state.py.

--- a/ochrespan/broker.py
+++ b/ochrespan/broker.py
@@ -16,7 +16,7 @@
 
 from . import interface as api
 from .logs import unbound
-from .policy import NEVER_RAN, Scheduler
+from .policy.front import NEVER_RAN, Scheduler
 from .requests import (
     Attempt,
     Counts,
--- a/ochrespan/interface.py
+++ b/ochrespan/interface.py
@@ -1,7 +1,7 @@
 """Types, events, actions and settings of the decision module. No choice is made here.
 
 All times are in seconds: points of time on the caller's clock, or lengths. `Scheduler.handle(now, events)` in
-`policy.py` takes a list of events and returns a list of actions.
+`policy/front.py` takes a list of events and returns a list of actions.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/ochrespan/policy/arr.py
@@ -0,0 +1,21 @@
+"""ARR: which promoted flow a node with room serves, by (a + 1) / delta; delta is its part of all gains."""
+
+from __future__ import annotations
+
+from ..state import Share
+
+KAPPA = 1.0  # gain a flow starts with
+GAMMA = 0.5  # gain added after a round in which the flow's mean latency missed its aim
+ROUND = 1.0  # s, length of a round
+
+
+def rank(flow: Share) -> float:
+    """(a + 1) / delta, but for the sum of all gains, which is the same for every flow."""
+    return (flow.a + 1) / flow.gain
+
+
+def end_round(flow: Share, certainty: float = 1.0) -> None:
+    """A flow whose mean latency missed its aim gains GAMMA, as far as that is certain; every a resets."""
+    if flow.over > 0:
+        flow.gain += GAMMA * certainty
+    flow.a, flow.over = 0, 0.0
--- a/ochrespan/policy.py
+++ b/ochrespan/policy/front.py
@@ -13,15 +13,14 @@
 from itertools import count
 from math import ceil, exp, inf
 
-from . import interface as api
-from .asking import Asking
-from .interface import Effect, Group, ListKind, NodeState, Status
-from .state import Flow, Job, Lane, Node, Queues, Recent, Store, Volume
-
-KAPPA = 1.0  # gain a flow starts with
-GAMMA = 0.5  # gain added after a round in which the flow's mean latency missed its aim
-ROUND = 1.0  # s, length of an ARR round
-LEXAS_MAX, LEXAS_MIN = 50.0, 100.0  # summed deficit under T_max, gap to the top eta, in units over weight
+from .. import interface as api
+from ..asking import Asking
+from ..interface import Effect, Group, ListKind, Status
+from ..state import Flow, Job, Lane, Node, NodeTable, Queues, Recent, Store, Turns, Volume
+from .arr import KAPPA, ROUND, end_round, rank
+from .gating import is_gated, lift_lagging, upper_threshold
+from .window import narrowed, widened
+
 # requests out at one node: at the start, then by all heads, most; widening under so often the least latency
 WINDOW_START, WINDOW_ALL, WINDOW_CAP, WINDOW_TOLERANCE = 3.0, 12.0, 32.0, 1.5
 SMOOTH = 0.15  # part of a new answer in smoothed figures; the least latency rises by a fifth of that
@@ -44,12 +43,13 @@
     def __init__(self, settings: api.Settings, now: float) -> None:
         self.set, self.born, self.now = settings, now, now
         self.random = random.Random(settings.seed)
-        self.nodes: dict[str, Node] = {}
+        self.table = NodeTable()
+        self.nodes, self.by_shard, self.leaving = self.table.nodes, self.table.by_shard, self.table.leaving
         self.flows: dict[tuple[str, str, str], Flow] = {}
         self.volumes: dict[tuple[str, str], Volume] = {}  # by plan and name
         self.lanes: dict[int, Lane] = {}
         self.jobs: dict[str, Job] = {}
-        self.turns: dict[str, deque[Job]] = {}  # by key, in turn of arrival
+        self.turns = Turns()
         self.rest_until: dict[str, float] = {}
         self.taken, self.extras = Recent(), Recent()  # requests, and attempts beyond their first
         self.longest: dict[str, float] = {}  # by class: the most time that a request came with
@@ -62,9 +62,6 @@
         self.most_worth = max([c.worth for c in settings.classes.values()] or [1.0])
         self.most_worth *= max([p.price for p in settings.plans.values()] or [1.0])
         self.patience = min((c.aim for c in settings.classes.values()), default=1.0)
-        self.usable: list[Node] | None = None  # for requests that any node may take; None: to be looked up
-        self.leaving: dict[str, None] = {}  # nodes that are not usable
-        self.by_shard: dict[int, list[Node]] = {}  # the usable ones
         self.bare: dict[int, float] = {}  # shards that are asked for and have none, and since when
         self.touched: dict[int, None] = {}  # shards to look at: a batch costs no more than what it touches
         self.asked: dict[int, float] = {}  # units, by shard; what is past counts for less and less
@@ -112,16 +109,11 @@
         """ARR: flows whose mean latency missed their aim gain gamma, and every a resets."""
         self.round_at = self.now + ROUND
         for key, flow in list(self.flows.items()):
-            if flow.over > 0:
-                flow.gain += GAMMA
-            flow.a, flow.over = 0, 0.0
+            end_round(flow)
             if self.now - flow.used_at > IDLE_FLOW:
                 del self.flows[key]
         self.rest_until = {key: at for key, at in self.rest_until.items() if at > self.now}
-        for name in [name for name in self.leaving if self.nodes[name].usable or not self.nodes[name].out]:
-            del self.leaving[name]
-            if not self.nodes[name].usable:
-                del self.nodes[name]
+        self.table.forget_gone()
         self.asked = {shard: USUAL * units for shard, units in self.asked.items() if units > 0.01}
         self.asked_all, self.rounds = sum(self.asked.values()), USUAL * self.rounds + 1
         self.busy = {at: util for at, util in self.busy.items() if at == ANY or at in self.asked}
@@ -154,12 +146,8 @@
         self._end_by(job, min(self.stop_at, self.now + left - 2 * self.set.step - 0.001))
         # unsent by then, whatever it stands behind: its client could have asked elsewhere
         heapq.heappush(self.ends, (self.now + left / 2 - HALF_LESS - self.set.step, next(self.count), job))
-        if cls.in_order and req.key:
-            turn = self.turns.setdefault(req.key, deque())
-            turn.append(job)
-            if len(turn) > 1:
-                return
-        self._queue(job)
+        if not (cls.in_order and req.key) or self.turns.join(job):
+            self._queue(job)
 
     def _end_by(self, job: Job, at: float) -> None:
         """Guard 1: its final answer leaves by then, two steps before its time is up."""
@@ -199,13 +187,8 @@
         if job.out:
             return
         self.jobs.pop(job.req.id, None)
-        turn = self.turns.get(job.req.key)
-        while turn and turn[0].done and not turn[0].out:
-            turn.popleft()
-            if turn:
-                self._queue(turn[0], first=True)
-        if not turn:
-            self.turns.pop(job.req.key, None)
+        for following in self.turns.pass_on(job.req.key):
+            self._queue(following, first=True)
 
     def _finish(self, job: Job) -> None:
         """Guard 2: refuse only what is harmless to try again, else fail."""
@@ -261,9 +244,9 @@
         node.seen_at = self.now
         # among many heads also on a queue that others made: few answers of our own would tell of it
         if x > WINDOW_TOLERANCE * best or (queue and WINDOW_START * self.set.heads > WINDOW_ALL):
-            node.window = max(1.0, node.window - 1.0 / node.window)
+            node.window = narrowed(node.window)
         elif node.out + 1 >= int(node.window):
-            node.window = min(WINDOW_CAP, node.window + 1.0 / node.window)
+            node.window = widened(node.window, WINDOW_CAP)
 
     def _failed(self, node: Node, got: api.Outcome, sent_at: float) -> None:
         """Exception: each failure in a row counts as a queue twice as long: sends to a dead node back off."""
@@ -296,75 +279,37 @@
         if got.kind is ListKind.MOVED:
             return self.asking.moved(self.now)
         if got.kind is ListKind.FAILED:
-            if self.set.list_on_request:
-                self.asking.failed(self.now)
-            return
+            return self.asking.failed(self.now) if self.set.list_on_request else None
         if got.kind is not ListKind.CACHED:
             self.asking.told()
-        moved: dict[int, list[Node]] = {}  # by shard: a change costs no more than what it touches
-        if got.kind is not ListKind.DELTA:
-            for node in self.nodes.values():
-                node.usable = False  # what a complete list does not name is gone
-            moved, self.leaving = {shard: [] for shard in self.by_shard}, dict.fromkeys(self.nodes)
-        for entry in got.entries:
-            node = self.nodes.get(entry.id)
-            if node is not None:
-                moved.setdefault(node.entry.shard, [])
-            if node is None or entry.started_at != node.entry.started_at:
-                # guard 4: what an earlier life of ours knew begins with its budget spent
-                out, sent = (node.out, node.sent) if node else (0, Recent())
-                window = max(1.0, min(WINDOW_START, WINDOW_ALL / max(1, self.set.heads)))
-                node = self.nodes[entry.id] = Node(entry, window=window, sent=sent, out=out)
-                # the first send waits by lot from now on: only as many heads begin in a window as it bears
-                node.unpaid, node.paid_at = self.random.random() * self.set.mean_units, self.now
-                if got.kind is ListKind.CACHED:
-                    sent.add(self.now, inf)
-            node.entry, node.usable = entry, entry.state is NodeState.READY
-            moved.setdefault(entry.shard, []).append(node)
-            self.leaving.update({} if node.usable else {entry.id: None})
-        for shard, fresh in moved.items():
-            there = [n for n in self.by_shard.pop(shard, ()) if self.nodes.get(n.entry.id) is n]
-            if live := [n for n in dict.fromkeys(there + fresh) if n.usable and n.entry.shard == shard]:
-                self.by_shard[shard] = live
-                self.bare.pop(shard, None)
-        self.usable = None
+        moved = self.table.update(got, lambda entry, known: self._begin(entry, known, got.kind))
+        self.bare = {shard: at for shard, at in self.bare.items() if shard not in self.by_shard}
         self.touched.update(dict.fromkeys(shard for shard in (*moved, ANY) if shard in self.lanes))
 
+    def _begin(self, entry: api.NodeEntry, known: Node | None, kind: ListKind) -> Node:
+        """A node's new life; guard 4: what an earlier life of ours knew begins with its budget spent."""
+        window = max(1.0, min(WINDOW_START, WINDOW_ALL / max(1, self.set.heads)))
+        out, sent = (known.out, known.sent) if known else (0, Recent())
+        if kind is ListKind.CACHED:
+            sent.add(self.now, inf)
+        # the first send waits by lot from now on: only as many heads begin in a window as it bears
+        unpaid = self.random.random() * self.set.mean_units
+        return Node(entry, window=window, sent=sent, out=out, unpaid=unpaid, paid_at=self.now)
+
     def _nodes(self, shard: int) -> list[Node]:
-        if shard != ANY:
-            return self.by_shard.get(shard, [])
-        if self.usable is None:
-            self.usable = [node for node in self.nodes.values() if node.usable]
-        return self.usable
-
-    def _thresholds(self, flows: list[Flow]) -> float:
-        """Lifts the lagging flows among those that wait for a shard to T_min; returns T_max."""
-        left = LEXAS_MIN
-        for k, flow in enumerate(sorted(flows, key=lambda f: -f.eta)):
-            if self.eta_top - flow.eta > left / (len(flows) - k):
-                t_min = self.eta_top - left / (len(flows) - k)
-                for lagging in flows:
-                    lagging.eta = max(lagging.eta, t_min)
-                break
-            left -= self.eta_top - flow.eta
-        left, k, t_max = LEXAS_MAX, 0, 0.0
-        for eta in sorted(flow.eta for flow in flows):
-            if (eta - t_max) * k > left:
-                break
-            left, k, t_max = left - (eta - t_max) * k, k + 1, eta
-        return t_max + left / max(1, k)
+        return self.by_shard.get(shard, []) if shard != ANY else self.table.usable()
 
     def _promote(self, lane: Lane, part: int) -> None:
         """Gates flow queues into a shard's part of the scheduler queue; `part` is its part of L."""
-        t_max = self._thresholds(list(lane.waiting))
+        lift_lagging(list(lane.waiting), self.eta_top)
+        t_max = upper_threshold(lane.waiting)
         while True:
             ready = sum(len(lane.ready[job.flow]) for job in self._heads(lane.ready))
             best, pick = (2, inf), None
             for job in self._heads(lane.waiting):
-                rank = (0 if self._reserved(job) else 1, job.flow.eta)  # exception: the reserve goes first
-                gated = ready >= part or (job.flow.eta > t_max and ready >= ceil(part / 2))  # ARRmin
-                if rank < best and not (rank[0] and gated):
-                    best, pick = rank, job
+                order = (0 if self._reserved(job) else 1, job.flow.eta)  # exception: the reserve goes first
+                if order < best and not (order[0] and is_gated(job.flow.eta, t_max, ready, part)):
+                    best, pick = order, job
             if pick is None or ready >= 2 * part:
                 return
             self._queue(self._charge(lane, pick))
@@ -447,9 +392,9 @@
             # an idle node pulls straight from the flow queues
             for queues in (lane.ready, lane.waiting) if not node.out else (lane.ready,):
                 for job in self._heads(queues):
-                    rank = (0 if self._reserved(job) else 1, (job.flow.a + 1) / job.flow.gain)
-                    if rank < best and self._in_time(job, node) and not self._blocked(job, node):
-                        best, found = rank, (lane, job)
+                    order = (0 if self._reserved(job) else 1, rank(job.flow))
+                    if order < best and self._in_time(job, node) and not self._blocked(job, node):
+                        best, found = order, (lane, job)
         if found:
             lane, job = found
             return lane.ready[job.flow].popleft() if job.promoted else self._charge(lane, job)
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -9,22 +9,25 @@
 
 
 def test_the_module_is_short_enough_to_read_at_night():
-    lines = [line for line in (ROOT / "policy.py").read_text().splitlines() if line.strip()]
+    files = list((ROOT / "policy").glob("*.py"))
+    lines = [line for file in files for line in file.read_text().splitlines() if line.strip()]
+    assert len(files) > 3
     assert len(lines) <= 500
     assert max(map(len, lines)) <= 110
 
 
 def test_the_module_names_its_interface_and_stands_apart_from_the_wire():
-    text = (ROOT / "policy.py").read_text()
-    assert "ochrespan/interface.py" in text.split('"""')[1]
-    assert "simhost" not in text and "Ns" not in text
+    assert "ochrespan/interface.py" in (ROOT / "policy/front.py").read_text().split('"""')[1]
+    for file in (ROOT / "policy").glob("*.py"):
+        text = file.read_text()
+        assert "simhost" not in text and "Ns" not in text
 
 
 def test_the_module_uses_the_standard_library_only():
     allowed = {"__future__", "heapq", "random", "collections", "itertools", "math", "dataclasses", "enum",
                "typing", "."}
-    for name in ("policy.py", "interface.py", "state.py"):
-        for line in (ROOT / name).read_text().splitlines():
+    for file in (*(ROOT / "policy").glob("*.py"), ROOT / "interface.py", ROOT / "state.py"):
+        for line in file.read_text().splitlines():
             if line.startswith(("import ", "from ")):
                 top = line.split()[1].split(".")[0] or "."
                 assert top in allowed, line
