Quotas: token grants by the owner of a tenant, with the bound kept over all routers

A tenant's limit holds over all routers together, also those that reach no owner, and the present control plane had nothing for it. The leader of the shard of a tenant's name grants tokens that live for a second, a new owner begins with an empty bucket, and routers without an owner spend a small sure share; the terms are derived so that everything adds up to the bound.

--- a/ochrespan/control_plane/controller_node.py
+++ b/ochrespan/control_plane/controller_node.py
@@ -18,6 +18,8 @@
 from .orders import ConfigurationMachine
 from .owners import ConfigurationOwner, InstanceOwner, ReplicaGroups
 from .presence import PresenceReporter, RouterCensus
+from .quota import QuotaBounds
+from .quota_owner import QuotaOwner
 from .replica_host import StateMachine
 
 READY_QUORUM_AGE_S = 1.0
@@ -49,6 +51,7 @@
         zone: str,
         address: Address,
         heartbeat_s: float,
+        quota_bounds: QuotaBounds,
         groups: ReplicaGroups,
         state: ControlState,
         call_server: CallServer,
@@ -68,13 +71,19 @@
         self._feed = FeedServer(groups, state.configuration, state.instances, self._census, self._controllers)
         self._presence = PresenceReporter(address, zone, self._census, self._peers, self._known_addresses)
         self._seeds = seeds
-        for part in (self.service, self._feed, self._presence):
+        self._quota = QuotaOwner(groups, state.configuration.tenant, quota_bounds)
+        self._tasks: list[gevent.Greenlet] = []
+        for part in (self.service, self._feed, self._presence, self._quota):
             part.register(call_server)
 
     def start(self) -> None:
         """Begins the periodic work."""
-        for task in (self._instance_owner.watch, self._feed.run, self._presence.run):
-            gevent.spawn(task)
+        tasks = (self._instance_owner.watch, self._feed.run, self._presence.run)
+        self._tasks = [gevent.spawn(task) for task in tasks]
+
+    def stop(self) -> None:
+        """Ends the periodic work."""
+        gevent.killall(self._tasks, block=False)
 
     def applied(self, shard: int, index: int, command: bytes, result: Any) -> None:
         """A command was applied."""
@@ -87,6 +96,7 @@
     def leadership_changed(self, shard: int, is_leader: bool) -> None:
         """This process began or ceased to lead a shard."""
         self._instance_owner.leadership_changed(shard, is_leader)
+        self._quota.leadership_changed(shard, is_leader)
 
     def is_ready(self) -> bool:
         """Whether every shard's group has a majority."""
--- a/ochrespan/control_plane/feed_client.py
+++ b/ochrespan/control_plane/feed_client.py
@@ -56,7 +56,8 @@
 
     def __init__(self, node: str, zone: str, seeds: list[Address], on_change: OnChange | None = None) -> None:
         self.table: FleetTable | None = None
-        self.controller: Address | None = None
+        self.controller: Address | None = None  # the one that is followed, while it is known to be current
+        self.leaders: dict[int, Address] = {}  # of each shard, as last told
         self.on_change = on_change
         self._node = node
         self._zone = zone
@@ -148,6 +149,7 @@
         for shard, offset in freshness.offsets.items():
             if shard in self._offsets:
                 self._offsets[shard] = max(offset, self._offsets[shard])
+        self.leaders = {shard: (leader[0], leader[1]) for shard, leader in freshness.leaders.items()}
         self._choice.told({(ip, port): zone for ip, port, zone in freshness.controllers}, monotonic())
         if (age := oldest_quorum(freshness.quorum_ages)) > OLDEST_QUORUM_S:
             raise LeaveController(f"no majority for {age:.1f} s")
--- a/ochrespan/control_plane/feed_messages.py
+++ b/ochrespan/control_plane/feed_messages.py
@@ -55,6 +55,7 @@
     controllers: list[list[Any]]  # IP, port and zone of each controller that is known
     router_count: int
     router_rank: int  # of the receiver, among the routers in the order of their names
+    leaders: dict[int, list[Any]] = field(default_factory=dict)  # IP and port of each shard's leader, if known
 
 
 @message("feed.presence")
--- a/ochrespan/control_plane/feed_server.py
+++ b/ochrespan/control_plane/feed_server.py
@@ -178,6 +178,7 @@
             controllers=[[ip, port, zone] for (ip, port), zone in self._controllers()],
             router_count=0,
             router_rank=0,
+            leaders={shard: list(leader) for shard in ALL_SHARDS if (leader := self._groups.leader(shard))},
         )
 
     def _freshness_for(self, subscriber: Subscriber, freshness: Freshness) -> Freshness:
--- a/ochrespan/control_plane/orders.py
+++ b/ochrespan/control_plane/orders.py
@@ -11,6 +11,7 @@
 from . import compact
 from .checking import CheckFailed, Finding
 from .configuration import Configuration, ConfigurationChange, change_of_patch, change_to
+from .views import Tenant, tenant_view
 
 REMEMBERED_ORDERS = 8192
 DIGEST_BYTES = 16
@@ -82,6 +83,11 @@
             return self._refuse(Finding("command", type(order).__name__, "an order"))
         return self._judge(order)
 
+    def tenant(self, name: str) -> Tenant | None:
+        """A tenant of the current configuration."""
+        document = self.current.tenants.get(name)
+        return None if document is None else tenant_view(document)
+
     def snapshot(self) -> bytes:
         """The whole state, compressed."""
         return compact.pack([self.current.document(), list(self._taken.items())])
--- /dev/null
+++ b/ochrespan/control_plane/quota_messages.py
@@ -0,0 +1,39 @@
+"""The messages between routers and the owners of tenants."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..transport.codec import message
+
+
+@message("quota.ask")
+@dataclass(slots=True)
+class GrantRequest:
+    """A router asks for tokens of a tenant: those `needed` for a request that waits, and some `ahead`."""
+
+    tenant: str
+    router: str
+    needed: float
+    ahead: float
+    left_over: float = 0.0  # earlier grants of the same owner and epoch that expired unspent
+    epoch: int = 0
+
+
+@message("quota.grant")
+@dataclass(slots=True)
+class Grant:
+    """Tokens to be spent within GRANT_LIFETIME_S; none where the tenant is at its limit."""
+
+    tokens: float
+    retry_after_s: float
+    epoch: int  # names the owner's time of ownership
+
+
+@message("quota.elsewhere")
+@dataclass(slots=True)
+class NotTheOwner:
+    """This process does not own the tenant; the address of the owner, if it is known."""
+
+    ip: str = ""
+    port: int = 0
--- /dev/null
+++ b/ochrespan/control_plane/quota_owner.py
@@ -0,0 +1,98 @@
+"""The owner of a tenant's quota: the leader of the shard that the tenant's name belongs to.
+
+Buckets are kept in memory alone. A new owner begins with empty ones, which counts whatever its predecessor granted as
+spent; a former owner stops before it can have a successor, since it no longer hears from a majority.
+"""
+
+from __future__ import annotations
+
+import itertools
+import logging
+import random
+from collections.abc import Callable, Mapping
+from time import monotonic
+from typing import Any
+
+from ..coordination.shards import shard_of
+from ..transport.rpc import CallServer
+from .owners import ReplicaGroups
+from .quota import QuotaBounds, TokenBucket, terms_for
+from .quota_messages import Grant, GrantRequest, NotTheOwner
+from .views import Tenant
+
+log = logging.getLogger(__name__)
+
+LEASE_S = 0.4  # shorter than the shortest time in which another leader can be elected
+LONGEST_RETRY_S = 5.0
+
+
+class QuotaOwner:
+    """Grants tokens for the tenants whose shards this process leads."""
+
+    def __init__(
+        self,
+        groups: ReplicaGroups,
+        tenant: Callable[[str], Tenant | None],
+        bounds: QuotaBounds,
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
+        self._groups = groups
+        self._tenant = tenant
+        self._bounds = bounds
+        self._clock = clock
+        self._owner_since: dict[int, float] = {}
+        self._epochs: dict[int, int] = {}
+        self._numbers = itertools.count(random.SystemRandom().getrandbits(48))
+        self._buckets: dict[str, TokenBucket] = {}
+
+    def register(self, call_server: CallServer) -> None:
+        """Answers routers."""
+        call_server.on_call(GrantRequest, self.grant)
+
+    def leadership_changed(self, shard: int, is_leader: bool) -> None:
+        """To be called when this process begins or ceases to lead a shard."""
+        for tenant in [each for each in self._buckets if shard_of(each) == shard]:
+            del self._buckets[tenant]
+        if is_leader:
+            self._owner_since[shard] = self._clock()
+            self._epochs[shard] = next(self._numbers)
+        else:
+            self._owner_since.pop(shard, None)
+
+    def grant(self, request: GrantRequest) -> Grant | NotTheOwner:
+        """Answers a router: tokens, none, or who to ask instead."""
+        shard = shard_of(request.tenant)
+        if not self._owns(shard):
+            leader = self._groups.leader(shard)
+            return NotTheOwner(*leader) if leader is not None else NotTheOwner()
+        tenant, epoch, now = self._tenant(request.tenant), self._epochs[shard], self._clock()
+        if tenant is None:
+            return Grant(0.0, LONGEST_RETRY_S, epoch)
+        bucket = self._bucket(tenant, shard, now)
+        if request.epoch == epoch and request.left_over > 0:
+            bucket.put_back(request.left_over)
+        if not bucket.take(request.needed, now, on_credit=True):
+            return Grant(0.0, min(LONGEST_RETRY_S, bucket.wait_for(request.needed, now)), epoch)
+        return Grant(request.needed + bucket.take_up_to(request.ahead, now), 0.0, epoch)
+
+    def _owns(self, shard: int) -> bool:
+        return shard in self._owner_since and self._groups.quorum_age(shard) < LEASE_S and self._groups.is_leader(shard)
+
+    def _bucket(self, tenant: Tenant, shard: int, now: float) -> TokenBucket:
+        terms = terms_for(tenant.rate_per_s, tenant.burst, self._bounds)
+        bucket = self._buckets.get(tenant.name)
+        if bucket is None:
+            bucket = self._buckets[tenant.name] = TokenBucket(terms.rate, terms.depth, self._owner_since[shard])
+        if (bucket.rate, bucket.depth) != (terms.rate, terms.depth):
+            bucket.change(terms.rate, terms.depth, now)
+        return bucket
+
+
+def bounds_from(figures: Mapping[str, Any]) -> QuotaBounds:
+    """The bounds as the settings name them."""
+
+    def figure(name: str, default: float) -> float:
+        value = figures.get(name)
+        return float(value) if type(value) in (int, float) else default
+
+    return QuotaBounds(figure("quota_window_s", 8.0), figure("quota_overshoot", 0.0), figure("quota_slack", 0.0))
--- a/ochrespan/programs/controller.py
+++ b/ochrespan/programs/controller.py
@@ -13,6 +13,7 @@
 from ..control_plane.checking import CheckFailed, Finding
 from ..control_plane.controller_node import ControllerNode, ControlState
 from ..control_plane.peer_addresses import peer_address, seed_peer_addresses
+from ..control_plane.quota_owner import bounds_from
 from ..control_plane.replica_host import HostSettings, ReplicaHost
 from ..transport.tcp import Address, parse_address
 from .settings import Settings, SettingsFile, settings_path
@@ -61,6 +62,7 @@
             zone=settings["zone"],
             address=address,
             heartbeat_s=settings.get("heartbeat_ms", DEFAULT_HEARTBEAT_MS) / 1000,
+            quota_bounds=bounds_from(settings.get("bounds", {})),
             groups=self._host,
             state=state,
             call_server=self._host.call_server,
@@ -83,6 +85,7 @@
     def stop(self) -> None:
         """Hands over leadership, and ends."""
         with gevent.Timeout(STOP_TIMEOUT_S, False):
+            self._node.stop()
             self._http.close()
             self._host.stop()
 
--- a/tests/control_plane_world.py
+++ b/tests/control_plane_world.py
@@ -10,10 +10,12 @@
 
 from ochrespan.control_plane.api import serve_api
 from ochrespan.control_plane.controller_node import ControllerNode, ControlState
+from ochrespan.control_plane.quota import QuotaBounds
 from ochrespan.transport.tcp import Address
 from tests.control_plane_fakes import InMemoryGroups, SharedLog
 
 HEARTBEAT_S = 1.2
+QUOTA_BOUNDS = QuotaBounds(window_s=8.0, overshoot=0.1, slack=20.0)
 
 
 def route(name: str, service: str = "judges", **fields: Any) -> dict[str, Any]:
@@ -63,12 +65,13 @@
         self.groups = InMemoryGroups(self.state.machines, log)
         self.node = ControllerNode(
             node=name, zone=f"zone-of-{name}", address=self.groups.address, heartbeat_s=HEARTBEAT_S,
-            groups=self.groups, state=self.state, call_server=self.groups.call_server,
-            seeds=list,
+            quota_bounds=QUOTA_BOUNDS, groups=self.groups, state=self.state,
+            call_server=self.groups.call_server, seeds=list,
         )
         self.groups.on_applied.append(self.node.applied)
         self.groups.on_restored.append(self.node.restored)
         self.groups.on_leadership.append(self.node.leadership_changed)
+        self.node.start()
         self.http: WSGIServer = serve_api(("127.0.0.1", 0), self.node.api)
 
     def call(self, method: str, path: str, document: Any = None, **headers: str) -> tuple[int, Any]:
@@ -92,5 +95,6 @@
         return self.call("PUT", f"/api/instances/{instance_id}", document)
 
     def close(self) -> None:
+        self.node.stop()
         self.http.stop()
         self.groups.stop()
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -87,7 +87,7 @@
     remaining = [each for each in world.controllers if each is not followed]
     remaining[0].groups.lead()
     followed.groups.quorum_ages = dict.fromkeys(followed.groups.quorum_ages, 5.0)
-    followed.groups.applied = dict.fromkeys(followed.groups.applied, 10**6)  # cut off: it applies nothing more
+    del world.log.members[followed.groups.address]  # cut off: it applies nothing more
     assert remaining[0].put_config(configuration(9), 5)[0] == 200
     router.wait(lambda table: table.version == 9)
     assert router.client.controller != followed.groups.address
--- /dev/null
+++ b/tests/test_instances.py
@@ -0,0 +1,210 @@
+"""Instances: incarnations never go back, late reports change nothing, and only a watcher that listened expires."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ochrespan.control_plane import instances
+from ochrespan.control_plane.heartbeats import MASS_TIMEOUTS, HeartbeatWatch, timeout_s
+from ochrespan.control_plane.instances import (
+    NO_CHANGE,
+    ExpireInstances,
+    InstanceMachine,
+    RegisterInstance,
+    RemoveInstance,
+    record_fields,
+    record_of,
+)
+from ochrespan.transport.codec import encode
+from tests.control_plane_world import instance
+
+
+def register(machine, instance_id, sequence, state="ready", **fields):
+    record = record_of(instance_id, instance(sequence, state, **fields))
+    return machine.apply(1, encode(RegisterInstance(record_fields(record))))
+
+
+def remove(machine, instance_id):
+    return machine.apply(1, encode(RemoveInstance(instance_id)))
+
+
+def expire(machine, **sequences):
+    return machine.apply(1, encode(ExpireInstances(sequences)))
+
+
+def test_an_instance_registers_changes_drains_and_ends():
+    machine = InstanceMachine()
+    assert register(machine, "i1", 1).upserted[0].state == "ready"
+    assert register(machine, "i1", 2, capacity=16).upserted[0].capacity == 16
+    assert register(machine, "i1", 3, "draining").upserted[0].state == "draining"
+    assert remove(machine, "i1").removed == ("i1",)
+    assert machine.records == {}
+
+
+def test_a_draining_incarnation_does_not_become_ready_and_one_that_is_gone_does_not_come_back():
+    machine = InstanceMachine()
+    register(machine, "i1", 1, "draining")
+    assert register(machine, "i1", 2, "ready") == NO_CHANGE
+    remove(machine, "i1")
+    assert register(machine, "i1", 9, "ready") == register(machine, "i1", 10, "draining") == NO_CHANGE
+    assert remove(machine, "i1") == NO_CHANGE
+
+
+def test_a_report_whose_sequence_number_goes_back_changes_nothing():
+    machine = InstanceMachine()
+    register(machine, "i1", 5, capacity=8)
+    assert register(machine, "i1", 5, capacity=9) == register(machine, "i1", 4, capacity=9) == NO_CHANGE
+    assert machine.records["i1"].capacity == 8
+
+
+def test_a_new_incarnation_at_an_old_address_takes_its_place():
+    machine = InstanceMachine()
+    register(machine, "old", 5)
+    change = register(machine, "new", 1)
+    assert change.removed == ("old",) and change.upserted[0].id == "new"
+    assert register(machine, "old", 6) == NO_CHANGE and list(machine.records) == ["new"]
+
+
+def test_an_instance_may_move_to_another_address_without_hurting_who_takes_the_old_one():
+    machine = InstanceMachine()
+    register(machine, "a", 1, address="10.0.0.1:1")
+    register(machine, "a", 2, address="10.0.0.2:1")
+    assert register(machine, "b", 1, address="10.0.0.1:1").removed == ()
+    assert set(machine.records) == {"a", "b"}
+
+
+def test_an_expired_instance_comes_back_by_a_newer_report_but_never_from_draining_to_ready():
+    machine = InstanceMachine()
+    register(machine, "i1", 5)
+    assert expire(machine, i1=4) == NO_CHANGE
+    assert expire(machine, i1=5, unknown=1).removed == ("i1",)
+    assert register(machine, "i1", 5) == NO_CHANGE
+    assert register(machine, "i1", 6).upserted
+    register(machine, "i1", 7, "draining")
+    expire(machine, i1=7)
+    assert register(machine, "i1", 8, "ready") == NO_CHANGE
+    assert register(machine, "i1", 9, "draining").upserted
+
+
+def test_an_expired_instance_that_is_removed_stays_gone():
+    machine = InstanceMachine()
+    register(machine, "i1", 5)
+    expire(machine, i1=5)
+    remove(machine, "i1")
+    assert register(machine, "i1", 6) == NO_CHANGE
+
+
+def test_the_memory_of_departed_instances_is_bounded(monkeypatch):
+    monkeypatch.setattr(instances, "REMEMBERED_GONE", 2)
+    machine = InstanceMachine()
+    for number in range(5):
+        register(machine, f"i{number}", 1, address=f"10.0.0.{number}:1")
+        remove(machine, f"i{number}")
+    assert register(machine, "i4", 2) == NO_CHANGE and register(machine, "i0", 2).upserted
+
+
+@pytest.mark.parametrize("command", [b"", b"\xc1", b"\x91\xa5other"])
+def test_a_command_that_is_none_changes_nothing(command):
+    assert InstanceMachine().apply(1, command) == NO_CHANGE
+
+
+_steps = st.tuples(
+    st.sampled_from(["register", "remove", "expire"]), st.sampled_from("abc"), st.integers(1, 6),
+    st.sampled_from(["ready", "draining"]), st.sampled_from(["10.0.0.1:1", "10.0.0.2:1"]),
+)
+
+
+def step(machine, action, instance_id, sequence, state, address):
+    if action == "register":
+        return register(machine, instance_id, sequence, state, address=address)
+    if action == "remove":
+        return remove(machine, instance_id)
+    return expire(machine, **{instance_id: sequence})
+
+
+@given(st.lists(_steps, max_size=40), st.integers(0, 40))
+def test_every_history_keeps_one_instance_an_address_and_changes_that_lead_to_the_state(history, cut):
+    machine, replica, followed = InstanceMachine(), InstanceMachine(), {}
+    drained, gone = set(), set()
+    for index, (action, instance_id, *fields) in enumerate(history):
+        if index == cut:
+            replica = InstanceMachine()
+            replica.restore(machine.snapshot())
+        change = step(machine, action, instance_id, *fields)
+        assert step(replica, action, instance_id, *fields) == change
+        for removed in change.removed:
+            del followed[removed]
+        for record in change.upserted:
+            followed[record.id] = record
+            assert record.id not in gone and not (record.id in drained and record.state == "ready")
+            drained |= {record.id} if record.state == "draining" else set()
+        gone |= {instance_id} if action == "remove" and change.removed else set()
+        assert followed == machine.records == replica.records
+        addresses = [record.address for record in machine.records.values()]
+        assert len(addresses) == len(set(addresses))
+
+
+TIMEOUT = timeout_s(1.2)
+
+
+def watched(*heard, began=100.0):
+    watch = HeartbeatWatch(TIMEOUT)
+    watch.begin(began)
+    for instance_id, sequence, at in heard:
+        watch.heard(instance_id, sequence, at)
+    return watch
+
+
+def tick(watch, registered, until, since=100.0):
+    """Asks every half second, as the owner does; the first answer that names anyone, and its time."""
+    now = since
+    while now + 0.5 <= until:
+        now += 0.5
+        if silent := watch.expired(registered, now):
+            return silent, now
+    return [], now
+
+
+def test_an_instance_that_falls_silent_expires_after_the_timeout():
+    watch = watched(("a", 1, 103.0))
+    silent, at = tick(watch, ["a"], 120.0)
+    assert silent == ["a"] and TIMEOUT < at - 103.0 <= TIMEOUT + 0.5
+
+
+def test_a_new_owner_gives_everyone_the_whole_timeout_first():
+    watch = watched(began=100.0)
+    assert tick(watch, ["a"], 100.0 + TIMEOUT)[0] == []
+    watch.begin(200.0)
+    assert tick(watch, ["a"], 200.0 + TIMEOUT, since=200.0)[0] == []
+
+
+def test_an_owner_that_was_itself_away_begins_anew():
+    watch = watched(("a", 1, 101.0), ("b", 1, 101.0))
+    assert tick(watch, ["a"], 102.0)[0] == []
+    assert watch.expired(["a"], 130.0) == []
+    assert tick(watch, ["a"], 130.0 + TIMEOUT, since=130.0)[0] == []
+
+
+def test_a_watch_that_ended_names_nobody():
+    watch = watched(("a", 1, 100.0))
+    watch.end()
+    assert tick(watch, ["a"], 150.0)[0] == []
+
+
+def test_when_most_fall_silent_at_once_they_get_more_time():
+    everyone = [f"i{number}" for number in range(6)]
+    watch = watched(*((each, 1, 101.0) for each in everyone))
+    silent, at = tick(watch, everyone, 150.0)
+    assert silent == everyone and at - 101.0 > MASS_TIMEOUTS * TIMEOUT
+
+
+def test_a_late_report_does_not_count_as_a_sign_of_life():
+    watch = watched(("a", 5, 101.0), ("a", 3, 105.0))
+    assert tick(watch, ["a"], 101.0 + TIMEOUT + 0.6)[0] == ["a"]
+
+
+def test_what_is_forgotten_may_begin_again_with_a_low_sequence_number():
+    watch = watched(("a", 9, 101.0))
+    watch.forget("a")
+    watch.heard("a", 1, 106.0)
+    assert tick(watch, ["a"], 106.0 + TIMEOUT)[0] == []
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,237 @@
+"""Quotas: the bound over all routers in any window, with owners that change and routers that are out of touch."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ochrespan.control_plane.quota import (
+    GRANT_LIFETIME_S,
+    SEND_DELAY_S,
+    GrantedTokens,
+    QuotaBounds,
+    TokenBucket,
+    terms_for,
+)
+from ochrespan.control_plane.quota_client import QuotaClient, cost_of
+from ochrespan.control_plane.quota_messages import Grant, GrantRequest, NotTheOwner
+from ochrespan.control_plane.quota_owner import LEASE_S, QuotaOwner, bounds_from
+from ochrespan.control_plane.views import QuotaUnit, Tenant
+from ochrespan.coordination.shards import ALL_SHARDS, shard_of
+from ochrespan.transport.rpc import CallFailed
+
+BOUNDS = QuotaBounds(window_s=8.0, overshoot=0.1, slack=190_000.0)
+OWNER, OTHER = ("10.0.0.1", 7500), ("10.0.0.2", 7500)
+
+
+def limited(name="t", rate=71_430.0, burst=112_296.0, unit=QuotaUnit.TOKENS):
+    return Tenant(name, ("k",), 0, unit, 200.0, rate, burst)
+
+
+def most_in_a_window(spends, window):
+    """The largest sum of spends in any window of the length."""
+    spends = sorted(spends)
+    most = total = first = 0
+    for at, tokens in spends:
+        total += tokens
+        while spends[first][0] <= at - window:
+            total -= spends[first][1]
+            first += 1
+        most = max(most, total)
+    return most
+
+
+def test_the_terms_admit_rate_and_burst_where_the_bound_leaves_room():
+    terms = terms_for(71_430, 112_296, BOUNDS)
+    assert terms.rate >= 71_430 and terms.depth >= 112_296 and terms.sure_depth > 0
+
+
+@given(st.floats(0.1, 1e6), st.floats(0, 1e6), st.floats(1, 60), st.floats(0, 1), st.floats(0, 1e6))
+def test_the_terms_add_up_to_the_bound_at_most(rate, burst, window, overshoot, slack):
+    bounds = QuotaBounds(window, overshoot, slack)
+    terms = terms_for(rate, burst, bounds)
+    granted = terms.rate * (window + GRANT_LIFETIME_S + SEND_DELAY_S) + terms.depth
+    sure = terms.sure_rate * (window + SEND_DELAY_S) + terms.sure_depth
+    assert granted + sure <= bounds.allowed(rate, burst) * (1 + 1e-9)
+    assert min(terms.rate, terms.depth, terms.sure_rate, terms.sure_depth) >= 0
+
+
+class Clock:
+    """A clock that the test sets."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+class Groups:
+    """Replica groups of one owner, whose leadership the test sets."""
+
+    def __init__(self):
+        self.age = 0.0
+        self.leads = True
+
+    def is_leader(self, shard):
+        return self.leads
+
+    def leader(self, shard):
+        return OWNER if self.leads else OTHER
+
+    def quorum_age(self, shard):
+        return self.age
+
+
+class Fleet:
+    """Owners that follow one another, and routers of which some are cut off from them."""
+
+    def __init__(self, tenant, routers, clock):
+        self.tenant, self.clock = tenant, clock
+        self.cut_off = set()
+        self.owners = [self.new_owner()]
+        self.clients = [
+            QuotaClient(f"edge-{number}", BOUNDS, lambda tenant: OWNER, self.call_as(number), clock)
+            for number in range(routers)
+        ]
+        for client in self.clients:
+            client.configure({tenant.name: tenant}, routers)
+
+    def new_owner(self):
+        owner = QuotaOwner(Groups(), lambda name: self.tenant if name == self.tenant.name else None, BOUNDS, self.clock)
+        for shard in ALL_SHARDS:
+            owner.leadership_changed(shard, True)
+        return owner
+
+    def replace_owner(self):
+        """The former owner hears no majority, and falls silent before the next one is elected."""
+        self.owners[-1]._groups.age = LEASE_S
+        self.owners.append(self.new_owner())
+
+    def call_as(self, number):
+        def call(address, request, timeout):
+            if number in self.cut_off:
+                self.clock.now += 0.01
+                raise CallFailed("cut off")
+            former = len(self.owners) > 1 and random.random() < 0.1
+            reply = self.owners[-2 if former else -1].grant(request)
+            if isinstance(reply, NotTheOwner):
+                raise CallFailed("no owner")
+            return reply
+
+        return call
+
+
+@given(st.integers(0, 2**32), st.integers(1, 12))
+@settings(max_examples=60, deadline=None)
+def test_no_window_exceeds_the_bound_with_owners_that_change_and_routers_out_of_touch(seed, routers):
+    draw = random.Random(seed)
+    random.seed(seed)
+    clock, tenant = Clock(), limited()
+    fleet, spends = Fleet(tenant, routers, clock), []
+    clock.now += 5.0
+    for _ in range(600):
+        clock.now += draw.expovariate(40)
+        event = draw.random()
+        if event < 0.01:
+            fleet.replace_owner()
+        elif event < 0.03:
+            fleet.cut_off = set(draw.sample(range(routers), draw.randint(0, routers)))
+        tokens = float(draw.choice((200, 1_790, 9_250, 17_300)))
+        if draw.choice(fleet.clients).take("t", tokens).allowed:
+            spends.append((clock.now + draw.uniform(0, SEND_DELAY_S), tokens))
+    assert most_in_a_window(spends, BOUNDS.window_s) <= BOUNDS.allowed(tenant.rate_per_s, tenant.burst)
+
+
+def test_a_tenant_within_its_rate_is_never_refused():
+    clock, tenant = Clock(), limited(rate=1000.0, burst=3000.0)
+    fleet = Fleet(tenant, 4, clock)
+    clock.now += 10.0
+    for number in range(500):
+        clock.now += 0.5
+        assert fleet.clients[number % 4].take("t", 500.0).allowed
+
+
+def test_a_refusal_says_when_to_come_back():
+    clock, tenant = Clock(), limited(rate=10.0, burst=5.0, unit=QuotaUnit.REQUESTS)
+    fleet = Fleet(tenant, 1, clock)
+    taken = fleet.clients[0].take("t", 1.0)
+    assert not taken.allowed and 0 < taken.retry_after_s < 1
+    clock.now += taken.retry_after_s
+    assert fleet.clients[0].take("t", 1.0).allowed
+
+
+def test_tenants_without_a_limit_are_not_asked_about():
+    def call(address, request, timeout):
+        raise AssertionError("asked")
+
+    client = QuotaClient("edge-1", BOUNDS, lambda tenant: OWNER, call)
+    client.configure({"free": limited("free", rate=0.0)}, 3)
+    assert client.take("free", 1e9).allowed and client.try_take("unknown", 1.0, 0.0)
+
+
+def test_a_router_that_reaches_no_owner_lives_on_its_sure_share_alone():
+    clock, tenant = Clock(), limited()
+    fleet = Fleet(tenant, 4, clock)
+    fleet.cut_off = {0}
+    spent = 0.0
+    for _ in range(800):
+        clock.now += 0.01
+        spent += 100.0 if fleet.clients[0].take("t", 100.0).allowed else 0.0
+    terms = terms_for(tenant.rate_per_s, tenant.burst, BOUNDS)
+    assert 0 < spent <= (terms.sure_depth + terms.sure_rate * (clock.now - 1000.0)) / 4
+
+
+def test_a_router_asks_the_owner_that_another_controller_names():
+    asked = []
+
+    def call(address, request, timeout):
+        asked.append(address)
+        return NotTheOwner(*OTHER) if address == OWNER else Grant(request.needed, 0.0, 1)
+
+    client = QuotaClient("edge-1", BOUNDS, lambda tenant: OWNER, call)
+    client.configure({"t": limited()}, 1)
+    assert client.take("t", 5.0).allowed and asked == [OWNER, OTHER]
+
+
+def test_an_owner_that_hears_no_majority_or_leads_no_more_grants_nothing():
+    groups, tenant = Groups(), limited()
+    owner = QuotaOwner(groups, lambda name: tenant, BOUNDS)
+    request = GrantRequest("t", "edge-1", 1.0, 0.0)
+    assert isinstance(owner.grant(request), NotTheOwner)
+    owner.leadership_changed(shard_of("t"), True)
+    assert isinstance(owner.grant(request), Grant)
+    groups.age = LEASE_S
+    assert isinstance(owner.grant(request), NotTheOwner)
+    groups.age = 0.0
+    owner.leadership_changed(shard_of("t"), False)
+    assert isinstance(owner.grant(request), NotTheOwner)
+
+
+def test_what_expired_unspent_goes_back_to_the_owner_that_granted_it_alone():
+    held = GrantedTokens()
+    held.add(10.0, asked_at=0.0, epoch=1)
+    assert held.take(4.0, now=0.5)
+    assert held.available(GRANT_LIFETIME_S) == 0 and held.take_left_over() == 6.0
+    held.add(10.0, asked_at=2.0, epoch=1)
+    held.add(3.0, asked_at=2.5, epoch=2)
+    assert held.available(9.0) == 0 and held.take_left_over() == 3.0
+
+
+def test_a_lower_limit_binds_from_the_next_grant():
+    bucket = TokenBucket(100.0, 100.0, now=0.0, level=100.0)
+    bucket.change(1.0, 10.0, now=1.0)
+    assert bucket.level == 10.0 and not bucket.take(11.0, now=1.0)
+    assert bucket.wait_for(11.0, now=1.0) == 0.0 and not bucket.take(10.5, now=2.0)
+
+
+@pytest.mark.parametrize("figures", [{}, {"quota_window_s": "8"}, {"quota_slack": None}, {"quota_overshoot": True}])
+def test_figures_that_are_missing_or_no_numbers_take_the_strictest_default(figures):
+    assert bounds_from(figures) == QuotaBounds(8.0, 0.0, 0.0)
+
+
+def test_a_request_counts_by_its_tokens_or_as_one():
+    assert cost_of(limited(), (1460, 80)) == 1540
+    assert cost_of(limited(), None) == 200
+    assert cost_of(limited(unit=QuotaUnit.REQUESTS), (1460, 80)) == 1
