Command line for the fleet, and routers that spread evenly over the controllers

A test found that a checksum drew nearly the same controller for all routers, since the checksums of two texts with one beginning differ by a constant; a cryptographic hash spreads them evenly. Tests of the settings file and of the choice of controller come along.

--- a/ochrespan/control_plane/controller_choice.py
+++ b/ochrespan/control_plane/controller_choice.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import zlib
+import hashlib
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
@@ -75,7 +75,11 @@
         rest = self._candidates[self.best(now)].not_before - now
         return max(SHORTEST_PAUSE_S, min(rest, LONGEST_PAUSE_S)) * (0.5 + draw / 2)
 
-    def _rank(self, address: Address, now: float) -> tuple[float, bool, int]:
+    def _rank(self, address: Address, now: float) -> tuple[float, bool, bytes]:
         candidate = self._candidates[address]
         rest = max(0.0, candidate.not_before - now)
-        return rest, candidate.zone != self._zone, zlib.crc32(f"{self._node} {format_address(address)}".encode())
+        return rest, candidate.zone != self._zone, self._draw(address)
+
+    def _draw(self, address: Address) -> bytes:
+        """A number for this router and the controller; a checksum would put all routers in nearly the same order."""
+        return hashlib.blake2b(f"{self._node} {format_address(address)}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/ochrespan/programs/fleet_reports.py
@@ -0,0 +1,78 @@
+"""What the command line prints: tables of the fleet's state, and differences of configurations."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Sequence
+from difflib import unified_diff
+from typing import Any
+
+from ..control_plane.configuration import SECTIONS, Configuration, SectionChange, change_to
+
+
+def table(header: Sequence[str], rows: Iterable[Sequence[Any]]) -> str:
+    """Columns of text, each as wide as its widest entry."""
+    lines = [[str(cell) for cell in row] for row in (header, *rows)]
+    widths = [max(len(line[column]) for line in lines) for column in range(len(header))]
+    return "\n".join("  ".join(map(str.ljust, line, widths)).rstrip() for line in lines)
+
+
+def status_report(status: dict[str, Any]) -> str:
+    """The version, the shards with their leaders, and the counts of routers and instances."""
+    shards = [
+        (shard["shard"], shard["leader"] or "none", f"{shard['quorum_age_s']:.1f} s", shard["offset"])
+        for shard in status["shards"]
+    ]
+    head = (
+        f"controller {status['node']} in {status['zone']}: configuration version {status['version']}, "
+        f"{len(status['routers'])} routers, {len(status['instances'])} instances"
+    )
+    return head + "\n" + table(("shard", "leader", "majority known", "offset"), shards)
+
+
+def members_report(status: dict[str, Any]) -> str:
+    """The controllers and routers that are live."""
+    controllers = [("controller", each["address"], each["zone"]) for each in status["controllers"]]
+    routers = [("router", name, "") for name in status["routers"]]
+    return table(("role", "member", "zone"), sorted(controllers) + routers)
+
+
+def instances_report(status: dict[str, Any], service: str = "") -> str:
+    """The registered servers, of one service or of all."""
+    listed = [each for each in status["instances"] if service in ("", each["backend"])]
+    columns = ("backend", "id", "address", "zone", "state", "capacity", "generation")
+    rows = sorted(tuple(each[column] for column in columns) for each in listed)
+    return table(("service", *columns[1:]), rows)
+
+
+def difference_report(current: dict[str, Any], wanted: dict[str, Any]) -> str:
+    """What a change from one configuration to another does, item by item; empty where they are the same."""
+    change = change_to(_as_configuration(current), wanted)
+    parts = [_section_report(name, getattr(change, name), current) for name in SECTIONS]
+    if change.others is not None:
+        before = {name: value for name, value in current.items() if name not in (*SECTIONS, "generation")}
+        parts.append(_document_difference("others", before, dict(change.others)))
+    return "\n".join(part for part in parts if part)
+
+
+def _section_report(name: str, change: SectionChange, current: dict[str, Any]) -> str:
+    before = {item["name"]: item for item in current.get(name) or ()}
+    lines = [f"- {name} {item}" for item in change.deleted]
+    for item in change.upserted:
+        if item["name"] in before:
+            lines.append(_document_difference(f"{name} {item['name']}", before[item["name"]], item))
+        else:
+            lines.append(f"+ {name} {item['name']}")
+    return "\n".join(lines)
+
+
+def _document_difference(title: str, before: dict[str, Any], after: dict[str, Any]) -> str:
+    texts = [json.dumps(each, indent=1, sort_keys=True).splitlines() for each in (before, after)]
+    changed = [line for line in list(unified_diff(*texts, n=0, lineterm=""))[2:] if not line.startswith("@@")]
+    return "\n".join((f"~ {title}", *(f"    {line}" for line in changed)))
+
+
+def _as_configuration(document: dict[str, Any]) -> Configuration:
+    if not document.get("generation"):
+        return Configuration()
+    return Configuration().changed_by(change_to(Configuration(), document))
--- /dev/null
+++ b/tests/test_controller_choice.py
@@ -0,0 +1,50 @@
+"""Which controller a router follows."""
+
+from ochrespan.control_plane.controller_choice import LONGEST_BACK_OFF_S, TOLD_LASTS_S, ControllerChoice
+
+A, B, C = ("10.0.0.1", 7500), ("10.0.0.2", 7500), ("10.0.0.3", 7500)
+ZONES = {A: "a", B: "b", C: "c"}
+
+
+def test_routers_spread_over_controllers_of_other_zones():
+    chosen = [ControllerChoice(f"edge-{number}", "z", [A, B, C]).best(0.0) for number in range(300)]
+    assert all(60 < chosen.count(address) < 140 for address in (A, B, C))
+
+
+def test_a_controller_in_the_own_zone_goes_first_once_zones_are_known():
+    choice = ControllerChoice("edge-1", "c", [A])
+    choice.told(ZONES, 0.0)
+    assert choice.best(0.0) == C
+    assert choice.is_nearer_than(A, 0.0) and not choice.is_nearer_than(C, 0.0)
+
+
+def test_one_that_failed_rests_for_longer_each_time_and_then_gets_another_chance():
+    choice = ControllerChoice("edge-1", "c", [A, B, C])
+    choice.told(ZONES, 0.0)
+    choice.failed(C, 0.0, 1.0)
+    assert choice.best(0.1) != C and not choice.is_nearer_than(A, 0.1)
+    assert choice.best(0.5) == C
+    for _ in range(20):
+        choice.failed(C, 0.0, 1.0)
+    assert choice.best(LONGEST_BACK_OFF_S - 0.1) != C and choice.best(LONGEST_BACK_OFF_S + 0.1) == C
+    choice.succeeded(C)
+    choice.failed(C, 10.0, 1.0)
+    assert choice.best(10.5) == C
+
+
+def test_when_all_have_failed_the_first_to_have_rested_is_tried_after_a_pause():
+    choice = ControllerChoice("edge-1", "z", [A, B])
+    choice.failed(A, 0.0, 1.0)
+    choice.failed(B, 0.0, 0.0)
+    assert choice.best(0.0) == B
+    assert 0 < choice.pause(0.0, 0.0) < choice.pause(0.0, 1.0) <= 0.4
+
+
+def test_controllers_that_are_told_of_no_more_are_forgotten_but_not_the_seeds():
+    choice = ControllerChoice("edge-1", "c", [A])
+    choice.told({C: "c"}, 0.0)
+    choice.told({B: "b"}, TOLD_LASTS_S + 1)
+    assert choice.best(TOLD_LASTS_S + 1) in (A, B)
+    choice.add_seeds([B])
+    choice.told({}, 3 * TOLD_LASTS_S)
+    assert choice.best(3 * TOLD_LASTS_S) == B
--- /dev/null
+++ b/tests/test_fleet_settings.py
@@ -0,0 +1,104 @@
+"""The settings file of the fleet's programs: what is read, what is refused, and when it is read again."""
+
+import os
+
+import pytest
+import yaml
+
+from ochrespan.control_plane.checking import CheckFailed
+from ochrespan.control_plane.peer_addresses import peer_address, seed_peer_addresses
+from ochrespan.programs.controller import control_address, host_settings
+from ochrespan.programs.settings import SettingsFile, bound, parse_settings, read_settings, settings_path
+
+GOOD = {
+    "node": "core-a-1", "ip": "10.1.0.6", "zone": "a", "port_range": [7500, 7515],
+    "listen": {"control": "10.1.0.6:8367"},
+    "seeds": ["10.1.0.6:8367", "10.2.0.20:8367"], "bootstrap": True, "data_dir": "/data/core",
+    "limits": {"disk_mb": 128}, "fault_tolerance": {"machines": 1}, "heartbeat_ms": 1200,
+    "bounds": {"drain_ms": 2000, "strict_revoke": False, "odd": "text"}, "unknown": {"field": [1]},
+}
+
+
+def parsed(**changes):
+    return parse_settings(yaml.safe_dump({**GOOD, **changes}), "node.yaml")
+
+
+def test_the_fields_that_programs_need_are_read_and_others_ignored():
+    settings = parsed()
+    assert peer_address(settings) == ("10.1.0.6", 7500)
+    assert seed_peer_addresses(settings) == [("10.1.0.6", 7500), ("10.2.0.20", 7500)]
+    host = host_settings(settings)
+    assert (host.bootstrap, host.tolerated_machines, host.disk_mb, host.data_dir) == (True, 1, 128, "/data/core")
+    assert control_address(settings) == ("10.1.0.6", 8367)
+    assert bound(settings, "drain_ms", 1) == 2000
+    assert [bound(settings, name, 7) for name in ("odd", "strict_revoke", "missing")] == [7, 7, 7]
+
+
+@pytest.mark.parametrize(("changes", "where"), [
+    ({"port_range": [7515, 7500]}, "port_range"),
+    ({"port_range": [7500]}, "port_range"),
+    ({"port_range": "7500"}, "port_range"),
+    ({"seeds": ["10.1.0.6"]}, "seeds[0]"),
+    ({"seeds": "10.1.0.6:1"}, "seeds"),
+    ({"listen": {"control": 8367}}, "listen.control"),
+    ({"node": 7}, "node"),
+    ({"bootstrap": "yes"}, "bootstrap"),
+    ({"heartbeat_ms": 0}, "heartbeat_ms"),
+    ({"limits": {"max_fds": -1}}, "limits.max_fds"),
+    ({"fault_tolerance": {"machines": 1.5}}, "fault_tolerance.machines"),
+])
+def test_a_bad_field_is_told_by_place_found_and_allowed(changes, where):
+    with pytest.raises(CheckFailed) as caught:
+        parsed(**changes)
+    assert [finding.where for finding in caught.value.findings] == [f"node.yaml: {where}"]
+
+
+def test_all_findings_come_at_once():
+    with pytest.raises(CheckFailed) as caught:
+        parse_settings("zone: 3\nip: 10.1.0.6", "node.yaml")
+    assert len(caught.value.findings) == 5
+
+
+@pytest.mark.parametrize("source", ["", "[1", "just text", "\x00"])
+def test_what_is_no_settings_document_is_refused(source):
+    with pytest.raises(CheckFailed):
+        parse_settings(source, "node.yaml")
+
+
+def test_a_missing_variable_or_file_is_refused(tmp_path):
+    with pytest.raises(CheckFailed):
+        settings_path({})
+    with pytest.raises(CheckFailed):
+        read_settings(tmp_path / "nothing.yaml")
+
+
+@pytest.mark.parametrize("changes", [{"data_dir": None}, {"listen": {}}])
+def test_a_controller_needs_a_folder_and_an_address(changes):
+    settings = parsed(**changes)
+    with pytest.raises(CheckFailed):
+        host_settings(settings)
+        control_address(settings)
+
+
+def test_a_changed_file_is_read_again_and_a_broken_one_changes_nothing(tmp_path):
+    path, told = tmp_path / "node.yaml", []
+    path.write_text(yaml.safe_dump(GOOD))
+    file = SettingsFile(path, told.append)
+
+    def write(text):
+        path.write_text(text)
+        os.utime(path, ns=(0, len(told) + len(text)))
+
+    write(yaml.safe_dump({**GOOD, "seeds": ["10.9.0.1:8367"]}))
+    file.poll()
+    assert told[-1]["seeds"] == ["10.9.0.1:8367"] == file.current["seeds"]
+    write("[broken")
+    file.poll()
+    assert len(told) == 1 and file.current["seeds"] == ["10.9.0.1:8367"]
+    path.unlink()
+    file.poll()
+    write(yaml.safe_dump(GOOD))
+    file.reload()
+    assert told[-1] == GOOD and len(told) == 2
+    file.poll()
+    assert len(told) == 2
