Feed: controllers that lag are left, cold times age, and counts of routers fall slowly

A controller whose disk hangs may still hear a majority and would keep its routers on old state; controllers now tell each other their offsets twice a second, and a router leaves one that is behind for 0.4 s. Each has a test, of the pure part or over loopback.

--- a/ochrespan/control_plane/api.py
+++ b/ochrespan/control_plane/api.py
@@ -31,7 +31,7 @@
 
 log = logging.getLogger(__name__)
 
-MAX_BODY_BYTES = 32 * 1024 * 1024
+MAX_BODY_BYTES = 8 * 1024 * 1024
 INSTANCES_PATH = "/api/instances/"
 
 Environment = dict[str, Any]
--- a/ochrespan/control_plane/controller_choice.py
+++ b/ochrespan/control_plane/controller_choice.py
@@ -11,7 +11,7 @@
 SHORTEST_BACK_OFF_S = 0.2
 LONGEST_BACK_OFF_S = 4.0
 SHORTEST_PAUSE_S = 0.01
-LONGEST_PAUSE_S = 0.3
+LONGEST_PAUSE_S = 0.6
 TOLD_LASTS_S = 600.0
 
 
--- a/ochrespan/control_plane/controller_node.py
+++ b/ochrespan/control_plane/controller_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from time import monotonic
 from typing import Any
 
 import gevent
@@ -12,9 +13,10 @@
 from ..transport.tcp import Address, format_address
 from .api import ControlApi
 from .control_service import ControlService, Peers
-from .feed_messages import oldest_quorum
+from .feed_messages import longest
 from .feed_server import FeedServer
 from .instances import InstanceMachine, InstanceRecord, record_fields
+from .lag_watch import LagWatch
 from .orders import ConfigurationMachine
 from .owners import ConfigurationOwner, InstanceOwner, ReplicaGroups
 from .presence import PresenceReporter, RouterCensus
@@ -63,13 +65,18 @@
         self._groups = groups
         self._state = state
         self._peers = Peers()
-        self._census = RouterCensus()
+        self._census = RouterCensus(monotonic())
+        self._lag = LagWatch()
         self._instance_owner = InstanceOwner(groups, state.instances, heartbeat_s)
         configuration_owner = ConfigurationOwner(groups, state.configuration)
         self.service = ControlService(groups, configuration_owner, self._instance_owner, state.instances, self._peers)
         self.api = ControlApi(self.service, self.status, self.is_ready)
-        self._feed = FeedServer(groups, state.configuration, state.instances, self._census, self._controllers)
-        self._presence = PresenceReporter(address, zone, self._census, self._peers, self._known_addresses)
+        self._feed = FeedServer(
+            groups, state.configuration, state.instances, self._census, self._lag, self._controllers
+        )
+        self._presence = PresenceReporter(
+            address, zone, groups, self._census, self._lag, self._peers, self._known_addresses
+        )
         self._seeds = seeds
         self._quota = QuotaOwner(groups, state.configuration.tenant, quota_bounds)
         self._tasks: list[gevent.Greenlet] = []
@@ -100,7 +107,7 @@
 
     def is_ready(self) -> bool:
         """Whether every shard's group has a majority."""
-        return oldest_quorum({shard: self._groups.quorum_age(shard) for shard in ALL_SHARDS}) <= READY_QUORUM_AGE_S
+        return longest({shard: self._groups.quorum_age(shard) for shard in ALL_SHARDS}) <= READY_QUORUM_AGE_S
 
     def status(self) -> dict[str, Any]:
         """What the command line shows."""
--- a/ochrespan/control_plane/feed_client.py
+++ b/ochrespan/control_plane/feed_client.py
@@ -22,7 +22,7 @@
     FeedSnapshot,
     Freshness,
     Subscribe,
-    oldest_quorum,
+    longest,
     unpack_configuration_change,
     unpack_instances_change,
 )
@@ -35,12 +35,15 @@
     with_whole_configuration,
     with_whole_shard,
 )
+from .router_count import RouterCount
 
 log = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S = 1.0
 SILENCE_LIMIT_S = 1.2
 OLDEST_QUORUM_S = 1.0
+LONGEST_LAG_S = 0.4
+ANOTHER_LOG_S = 4.0  # a controller whose offsets are lower for so long, and that lags behind nobody, has another log
 PATIENCE_S = 3.0  # a first table of doubtful age is taken after this long without a better one
 SHORTEST_STAY_S = 5.0  # before a move to a controller that is merely nearer
 
@@ -64,6 +67,8 @@
         self._choice = ControllerChoice(node, zone, seeds)
         self._draft = FleetTable()  # what is known, also before it is good enough to serve by
         self._offsets: dict[int, int] = {}
+        self._lower_since: dict[int, float] = {}  # by shard, since when controllers have had lower offsets
+        self._count = RouterCount()
         self._complete_since: float | None = None
         self._greenlet: gevent.Greenlet | None = None
 
@@ -146,19 +151,35 @@
         self._draft_changed(*change)
 
     def _take_freshness(self, freshness: Freshness, address: Address) -> None:
-        for shard, offset in freshness.offsets.items():
-            if shard in self._offsets:
-                self._offsets[shard] = max(offset, self._offsets[shard])
+        self._take_offsets(freshness, address)
         self.leaders = {shard: (leader[0], leader[1]) for shard, leader in freshness.leaders.items()}
         self._choice.told({(ip, port): zone for ip, port, zone in freshness.controllers}, monotonic())
-        if (age := oldest_quorum(freshness.quorum_ages)) > OLDEST_QUORUM_S:
+        if (age := longest(freshness.quorum_ages)) > OLDEST_QUORUM_S:
             raise LeaveController(f"no majority for {age:.1f} s")
+        if (lag := longest(freshness.lags)) > LONGEST_LAG_S:
+            raise LeaveController(f"behind other controllers for {lag:.1f} s")
         self.controller = address
         self._choice.succeeded(address)
-        self._draft_changed(*with_routers(self._draft, freshness.router_count, freshness.router_rank))
+        if freshness.router_count:
+            count = self._count.told(freshness.router_count, monotonic())
+            self._draft_changed(*with_routers(self._draft, count, freshness.router_rank))
         if self.table is None and self._is_complete():
             self._publish(_everything(self._draft))
 
+    def _take_offsets(self, freshness: Freshness, address: Address) -> None:
+        """Nothing was missed up to the offsets told. Where the log began anew, the shard is read from its beginning."""
+        now, is_current = monotonic(), longest(freshness.quorum_ages) <= OLDEST_QUORUM_S
+        for shard, offset in freshness.offsets.items():
+            known = self._offsets.get(shard)
+            if known is None or offset >= known:
+                self._lower_since.pop(shard, None)
+                if known is not None:
+                    self._offsets[shard] = offset
+            elif is_current and not freshness.lags.get(shard):
+                if now - self._lower_since.setdefault(shard, now) > ANOTHER_LOG_S:
+                    del self._offsets[shard], self._lower_since[shard]
+                    raise LeaveController(f"shard {shard} has another log at {format_address(address)}")
+
     def _draft_changed(self, draft: FleetTable, change: FleetChange) -> None:
         if draft is self._draft:
             return
--- a/ochrespan/control_plane/feed_messages.py
+++ b/ochrespan/control_plane/feed_messages.py
@@ -51,9 +51,10 @@
     """How fresh the feed is, by shard; every change up to the offsets has been sent before this."""
 
     quorum_ages: dict[int, float]  # seconds since each shard's group was known to have a majority
+    lags: dict[int, float]  # seconds for which this controller has known of changes that it has not applied
     offsets: dict[int, int]
     controllers: list[list[Any]]  # IP, port and zone of each controller that is known
-    router_count: int
+    router_count: int  # 0 while it is not known
     router_rank: int  # of the receiver, among the routers in the order of their names
     leaders: dict[int, list[Any]] = field(default_factory=dict)  # IP and port of each shard's leader, if known
 
@@ -61,12 +62,13 @@
 @message("feed.presence")
 @dataclass(slots=True)
 class Presence:
-    """A controller tells another of itself and of the routers that read its feed."""
+    """A controller tells another of itself, of the routers that read its feed, and of what it has applied."""
 
     ip: str
     port: int
     zone: str
     routers: list[str]
+    offsets: dict[int, int] = field(default_factory=dict)
 
 
 def pack_configuration_change(change: ConfigurationChange) -> bytes:
@@ -93,6 +95,6 @@
     return InstancesChange(tuple(record_from_fields(each) for each in upserted), tuple(removed))
 
 
-def oldest_quorum(ages: Mapping[int, float]) -> float:
-    """The age of the shard that was without a majority for longest."""
-    return max(ages.values(), default=0.0)
+def longest(spans: Mapping[int, float]) -> float:
+    """The longest of the spans of all shards."""
+    return max(spans.values(), default=0.0)
--- a/ochrespan/control_plane/feed_server.py
+++ b/ochrespan/control_plane/feed_server.py
@@ -16,6 +16,7 @@
 from ..transport.codec import encode
 from ..transport.rpc import CallServer
 from ..transport.tcp import Address, Connection, ConnectionClosed
+from .cold_times import ColdTimes
 from .configuration import Configuration, change_to
 from .feed_messages import (
     FRESHNESS_INTERVAL_S,
@@ -27,14 +28,16 @@
     pack_instances_change,
 )
 from .instances import InstanceMachine, InstancesChange
+from .lag_watch import LagWatch
 from .orders import ConfigurationMachine, Verdict
-from .owners import ReplicaGroups
+from .owners import ReplicaGroups, applied_offsets
 from .presence import RouterCensus
 
 log = logging.getLogger(__name__)
 
 HISTORY_BYTES = 4 * 1024 * 1024
 HISTORY_CHANGES = 4096
+SNAPSHOT_LASTS_S = 1.0
 
 
 @dataclass(slots=True)
@@ -88,12 +91,16 @@
         configuration: ConfigurationMachine,
         instances: Mapping[int, InstanceMachine],
         census: RouterCensus,
+        lag: LagWatch,
         controllers: Callable[[], Iterable[tuple[Address, str]]],
     ) -> None:
         self._groups = groups
         self._configuration = configuration
         self._instances = instances
         self._census = census
+        self._lag = lag
+        self._cold = ColdTimes()
+        self._packed: dict[int, tuple[int, float, bytes]] = {}  # by shard, an encoded snapshot, its offset and time
         self._controllers = controllers
         self._histories = {shard: ShardHistory() for shard in ALL_SHARDS}
         self._subscribers: dict[Connection, Subscriber] = {}
@@ -105,6 +112,8 @@
     def applied(self, shard: int, index: int, result: Any) -> None:
         """Sends what an applied command changed."""
         history = self._histories[shard]
+        if isinstance(result, InstancesChange):
+            self._cold.note(result, monotonic())
         body = _packed_change(result)
         if body is None or history.restored:
             return  # a snapshot that is about to be sent holds the change
@@ -125,7 +134,7 @@
         offset = self._groups.applied_index(shard)
         history.restart(offset)
         if self._subscribers:
-            encoded = encode(self._snapshot(shard, offset))
+            encoded = self._snapshot(shard)
             for subscriber in list(self._subscribers.values()):
                 self._send(subscriber, encoded)
 
@@ -162,19 +171,29 @@
         missed = history.since(offset) if offset else None
         if missed is not None:
             return missed
-        return [encode(self._snapshot(shard, self._groups.applied_index(shard)))]
-
-    def _snapshot(self, shard: int, offset: int) -> FeedSnapshot:
+        return [self._snapshot(shard)]
+
+    def _snapshot(self, shard: int) -> bytes:
+        """The encoded state of a shard; many readers that come at once get the same bytes."""
+        offset, now = self._groups.applied_index(shard), monotonic()
+        packed_offset, packed_at, encoded = self._packed.get(shard, (-1, 0.0, b""))
+        if packed_offset != offset or now - packed_at > SNAPSHOT_LASTS_S:
+            encoded = encode(FeedSnapshot(shard, offset, self._packed_state(shard, now)))
+            self._packed[shard] = (offset, now, encoded)
+        return encoded
+
+    def _packed_state(self, shard: int, now: float) -> bytes:
         if shard == CONFIG_SHARD:
-            whole = change_to(Configuration(), self._configuration.current.document())
-            return FeedSnapshot(shard, offset, pack_configuration_change(whole))
-        records = tuple(self._instances[shard].records.values())
-        return FeedSnapshot(shard, offset, pack_instances_change(InstancesChange(records)))
+            return pack_configuration_change(change_to(Configuration(), self._configuration.current.document()))
+        records = self._instances[shard].records.values()
+        return pack_instances_change(InstancesChange(tuple(self._cold.aged(record, now) for record in records)))
 
     def _freshness(self) -> Freshness:
+        offsets = applied_offsets(self._groups)
         return Freshness(
+            lags=self._lag.lags(offsets, monotonic()),
             quorum_ages={shard: self._groups.quorum_age(shard) for shard in ALL_SHARDS},
-            offsets={shard: self._groups.applied_index(shard) for shard in ALL_SHARDS},
+            offsets=offsets,
             controllers=[[ip, port, zone] for (ip, port), zone in self._controllers()],
             router_count=0,
             router_rank=0,
@@ -182,7 +201,7 @@
         )
 
     def _freshness_for(self, subscriber: Subscriber, freshness: Freshness) -> Freshness:
-        freshness.router_count, freshness.router_rank = self._census.place_of(subscriber.node)
+        freshness.router_count, freshness.router_rank = self._census.place_of(subscriber.node, monotonic())
         return freshness
 
     def _take_census(self) -> None:
--- a/ochrespan/control_plane/owners.py
+++ b/ochrespan/control_plane/owners.py
@@ -10,7 +10,7 @@
 
 import gevent
 
-from ..coordination.shards import CONFIG_SHARD
+from ..coordination.shards import ALL_SHARDS, CONFIG_SHARD
 from ..transport.codec import encode, message
 from ..transport.tcp import Address
 from .answers import (
@@ -62,6 +62,11 @@
     def voters(self, shard: int) -> set[Address]: ...
 
 
+def applied_offsets(groups: ReplicaGroups) -> dict[int, int]:
+    """Up to where this process has applied the log of each shard."""
+    return {shard: groups.applied_index(shard) for shard in ALL_SHARDS}
+
+
 @message("cp.read")
 @dataclass(slots=True)
 class ReadConfiguration:
--- a/ochrespan/control_plane/presence.py
+++ b/ochrespan/control_plane/presence.py
@@ -14,11 +14,14 @@
 from ..transport.tcp import Address
 from .control_service import Peers
 from .feed_messages import Presence
+from .lag_watch import LagWatch
+from .owners import ReplicaGroups, applied_offsets
 
 log = logging.getLogger(__name__)
 
-REPORT_INTERVAL_S = 1.0
+REPORT_INTERVAL_S = 0.5
 REPORT_TIMEOUT_S = 0.8
+SETTLING_S = 2.0  # a controller that has just started does not know of most routers yet
 REPORT_LASTS_S = 3.5  # a router that moves between controllers stays counted
 
 
@@ -32,7 +35,8 @@
 class RouterCensus:
     """The live routers: those of this controller and those that other controllers have told of lately."""
 
-    def __init__(self) -> None:
+    def __init__(self, started: float) -> None:
+        self._settled_at = started + SETTLING_S
         self._own: dict[str, float] = {}  # when each router was last among this controller's readers
         self._reports: dict[Address, _Report] = {}
         self._sorted: list[str] = []
@@ -61,39 +65,50 @@
         """The other controllers that have reported lately, and their zones."""
         return [(address, report.zone) for address, report in self._reports.items()]
 
-    def place_of(self, router: str) -> tuple[int, int]:
-        """How many routers are live, and how many of them come before this one by name."""
+    def place_of(self, router: str, now: float) -> tuple[int, int]:
+        """How many routers are live, or 0 if that is not known yet, and how many come before this one by name."""
+        if now < self._settled_at:
+            return 0, 0
         rank = bisect.bisect_left(self._sorted, router)
         known = rank < len(self._sorted) and self._sorted[rank] == router
         return len(self._sorted) + (0 if known else 1), rank
 
 
 class PresenceReporter:
-    """Tells the other controllers once a second of this one and of its routers."""
+    """Tells the other controllers twice a second of this one, of its routers and of its offsets."""
 
     def __init__(
-        self, address: Address, zone: str, census: RouterCensus, peers: Peers, others: Callable[[], Iterable[Address]]
+        self,
+        address: Address,
+        zone: str,
+        groups: ReplicaGroups,
+        census: RouterCensus,
+        lag: LagWatch,
+        peers: Peers,
+        others: Callable[[], Iterable[Address]],
     ) -> None:
         self._address = address
         self._zone = zone
+        self._groups = groups
         self._census = census
+        self._lag = lag
         self._peers = peers
         self._others = others
 
     def register(self, call_server: CallServer) -> None:
         """Takes the reports of other controllers."""
-        call_server.on_call(Presence, self._told)
+        call_server.on_call(Presence, self._answer)
 
     def run(self) -> None:
         """Reports until the greenlet is killed."""
         while True:
-            gevent.sleep(REPORT_INTERVAL_S)
             for other in self._others():
                 if other != self._address:
                     gevent.spawn(self._report_to, other)
+            gevent.sleep(REPORT_INTERVAL_S)
 
-    def _told(self, presence: Presence) -> Presence:
-        self._census.told(presence, monotonic())
+    def _answer(self, presence: Presence) -> Presence:
+        self._told(presence)
         return self._own_presence()
 
     def _report_to(self, other: Address) -> None:
@@ -103,7 +118,12 @@
             log.debug("presence not told peer=%s error=%s", other, error)
             return
         if isinstance(reply, Presence):
-            self._census.told(reply, monotonic())
+            self._told(reply)
+
+    def _told(self, presence: Presence) -> None:
+        now = monotonic()
+        self._census.told(presence, now)
+        self._lag.told(presence.offsets, applied_offsets(self._groups), now)
 
     def _own_presence(self) -> Presence:
-        return Presence(*self._address, self._zone, self._census.readers())
+        return Presence(*self._address, self._zone, self._census.readers(), applied_offsets(self._groups))
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -156,3 +156,36 @@
     world.log.members[behind.groups.address] = behind.groups
     leader.put_config(configuration(9), 8)
     router.wait(lambda table: table.version == 9)
+
+
+def test_a_router_leaves_a_controller_that_hears_a_majority_but_stays_behind(world, routers):
+    leader, behind = world.controllers[0], world.controllers[1]
+    leader.put_config(configuration(5), 0)
+    router = Router(world, controllers=1, first=1)
+    routers.append(router)
+    router.wait(lambda table: table.version == 5)
+    router.client.seeds_changed(world.addresses())
+    del world.log.members[behind.groups.address]  # its disk hangs: it applies nothing more
+    leader.put_config(configuration(6), 5)
+    router.wait(lambda table: table.version == 6)
+    assert behind.state.configuration.current.version == 5
+
+
+def test_a_router_reads_a_shard_anew_whose_log_began_again_but_keeps_its_configuration(world, routers, monkeypatch):
+    monkeypatch.setattr("ochrespan.control_plane.feed_client.ANOTHER_LOG_S", 0.0)
+    leader = world.controllers[0]
+    leader.put_config(configuration(5), 0)
+    for sequence in (1, 2, 3):
+        leader.put_instance("lost", instance(sequence, capacity=sequence))
+    router = Router(world)
+    routers.append(router)
+    router.wait(lambda table: "lost" in table.instances_of("judges"))
+    router.client.stop()
+    world.close()
+    anew = World()
+    anew.controllers[0].put_instance("fresh", instance(1))
+    router.client.seeds_changed(anew.addresses())
+    router.client.start()
+    table = router.wait(lambda table: set(table.instances_of("judges")) == {"fresh"})
+    assert table.version == 5
+    anew.close()
--- /dev/null
+++ b/tests/test_feed_parts.py
@@ -0,0 +1,148 @@
+"""The pure parts of the feed: histories, tables that share what stays, cold times, lags and counts of routers."""
+
+import pytest
+
+from ochrespan.control_plane import feed_server
+from ochrespan.control_plane.cold_times import ColdTimes
+from ochrespan.control_plane.configuration import Configuration, change_to
+from ochrespan.control_plane.feed_messages import (
+    pack_configuration_change,
+    pack_instances_change,
+    unpack_configuration_change,
+    unpack_instances_change,
+)
+from ochrespan.control_plane.feed_server import ShardHistory
+from ochrespan.control_plane.fleet_table import (
+    NO_DIFFERENCE,
+    FleetChange,
+    FleetTable,
+    with_configuration_change,
+    with_instances_change,
+    with_whole_configuration,
+    with_whole_shard,
+)
+from ochrespan.control_plane.instances import InstancesChange, record_of
+from ochrespan.control_plane.lag_watch import LagWatch
+from ochrespan.control_plane.presence import SETTLING_S, Presence, RouterCensus
+from ochrespan.control_plane.router_count import FALL_AFTER_S, RouterCount
+from tests.control_plane_world import configuration, instance, route, service, tenant
+
+
+def whole(document):
+    return change_to(Configuration(), document)
+
+
+def record(instance_id, **fields):
+    return record_of(instance_id, instance(1, **fields))
+
+
+def test_a_history_leads_on_from_every_offset_that_it_reaches_back_to(monkeypatch):
+    monkeypatch.setattr(feed_server, "HISTORY_CHANGES", 3)
+    history = ShardHistory()
+    for offset in (2, 5, 6, 9):
+        history.add(offset, b"%d" % offset)
+    assert history.since(1) is None
+    assert history.since(2) == history.since(4) == [b"5", b"6", b"9"]
+    assert history.since(6) == [b"9"] and history.since(9) == history.since(20) == []
+    history.restart(30)
+    assert history.since(29) is None and history.since(30) == []
+
+
+def test_a_history_is_bounded_by_its_bytes(monkeypatch):
+    monkeypatch.setattr(feed_server, "HISTORY_BYTES", 10)
+    history = ShardHistory()
+    for offset in range(1, 9):
+        history.add(offset, b"1234")
+    assert history.since(6) == [b"1234", b"1234"] and history.since(5) is None
+
+
+def test_changes_survive_the_way_over_the_wire():
+    change = whole(configuration(5, route("r1"), tenants=[tenant("t", "k")], extra=[None, 1.5]))
+    assert unpack_configuration_change(pack_configuration_change(change)) == change
+    instances = InstancesChange((record("i1", models=[{"name": "m"}]),), ("i0",))
+    assert unpack_instances_change(pack_instances_change(instances)) == instances
+
+
+def test_a_table_shares_what_a_change_leaves_standing():
+    first, _ = with_configuration_change(FleetTable(), whole(configuration(5, route("r1"), route("r2"))))
+    table, _ = with_instances_change(first, InstancesChange((record("i1"), record("i2", backend="ledger"))), 0.0)
+    after, change = with_instances_change(table, InstancesChange((), ("i2",)), 0.0)
+    assert change == FleetChange(instances=frozenset({"ledger"}))
+    assert after.instances["judges"] is table.instances["judges"] and "ledger" not in after.instances
+    assert after.configuration is table.configuration and "ledger" in table.instances
+    assert with_instances_change(after, InstancesChange((record("i1"),), ("never",)), 0.0) == (after, NO_DIFFERENCE)
+
+
+def test_a_snapshot_of_the_configuration_tells_only_what_differs():
+    table, _ = with_whole_configuration(FleetTable(), whole(configuration(5, route("r1"), route("r2"))))
+    later = configuration(8, route("r1"), route("r2", timeout_ms=1), route("r3"), services=[service(), service("x")])
+    after, change = with_whole_configuration(table, whole(later))
+    assert change == FleetChange(version=True, routes=frozenset({"r2", "r3"}), services=frozenset({"x"}))
+    assert after.configuration.routes["r1"] is table.configuration.routes["r1"]
+
+
+def test_an_older_configuration_is_never_taken():
+    table, _ = with_whole_configuration(FleetTable(), whole(configuration(5)))
+    for change in (whole(configuration(5, route("x"))), whole(configuration(4))):
+        assert with_whole_configuration(table, change) == (table, NO_DIFFERENCE)
+        assert with_configuration_change(table, change) == (table, NO_DIFFERENCE)
+
+
+def test_a_snapshot_of_a_shard_removes_what_it_does_not_name_and_leaves_other_shards():
+    records = (record("i1"), record("i2"), record("x", backend="ledger"))
+    table, _ = with_instances_change(FleetTable(), InstancesChange(records), 0.0)
+    after, _ = with_whole_shard(table, InstancesChange((record("i2"), record("i3"))), ["judges"], 0.0)
+    assert set(after.instances_of("judges")) == {"i2", "i3"} and set(after.instances_of("ledger")) == {"x"}
+
+
+def test_an_instance_stays_cold_as_long_as_was_first_said():
+    change = InstancesChange((record("i1", cold_remaining_ms=4000),))
+    table, _ = with_instances_change(FleetTable(), change, 10.0)
+    again, _ = with_instances_change(table, change, 12.0)
+    assert again.instances_of("judges")["i1"].cold_until == 14.0
+
+
+def test_a_later_snapshot_tells_what_is_left_of_a_cold_time():
+    cold = ColdTimes()
+    warm, fresh = record("i1"), record("i2", cold_remaining_ms=4000)
+    cold.note(InstancesChange((warm, fresh)), 10.0)
+    assert cold.aged(fresh, 11.0).cold_remaining_ms == 3000
+    assert cold.aged(fresh, 20.0).cold_remaining_ms == 0 and cold.aged(warm, 11.0) is warm
+    cold.note(InstancesChange(removed=("i2",)), 11.0)
+    assert cold.aged(fresh, 11.0).cold_remaining_ms == 0
+
+
+def test_a_controller_lags_from_when_it_hears_of_more_until_it_has_applied_that():
+    lag = LagWatch()
+    lag.told({0: 7, 1: 3}, {0: 7, 1: 3}, 1.0)
+    assert lag.lags({0: 7, 1: 3}, 2.0) == {0: 0.0, 1: 0.0}
+    lag.told({0: 9, 1: 3}, {0: 7, 1: 3}, 2.0)
+    lag.told({0: 12, 1: 3}, {0: 8, 1: 3}, 3.0)
+    assert lag.lags({0: 8, 1: 3}, 5.0) == {0: 3.0, 1: 0.0}
+    assert lag.lags({0: 9, 1: 3}, 6.0) == {0: 0.0, 1: 0.0}
+
+
+def test_a_count_of_routers_rises_at_once_and_falls_after_a_while():
+    count = RouterCount()
+    assert [count.told(told, at) for told, at in ((3, 0.0), (9, 1.0), (2, 1.5), (4, 2.0))] == [3, 9, 9, 9]
+    assert count.told(4, 1.0 + FALL_AFTER_S) == 9
+    assert count.told(4, 1.1 + FALL_AFTER_S) == 4
+
+
+def test_the_census_adds_up_the_routers_of_all_controllers_once_it_has_settled():
+    census = RouterCensus(started=0.0)
+    census.own({"b", "d"}, 1.0)
+    assert census.place_of("b", 1.0) == (0, 0)
+    census.told(Presence("10.0.0.2", 7500, "z", ["a", "b"]), 1.0)
+    census.own({"b", "d"}, SETTLING_S)
+    assert [census.place_of(each, SETTLING_S) for each in "abd"] == [(3, 0), (3, 1), (3, 2)]
+    assert census.controllers() == [(("10.0.0.2", 7500), "z")]
+    census.own({"b", "d"}, SETTLING_S + 5.0)
+    assert census.place_of("d", SETTLING_S + 5.0) == (2, 1) and census.controllers() == []
+
+
+@pytest.mark.parametrize("name", ["0", "c", "z"])
+def test_a_router_that_is_not_counted_yet_counts_itself(name):
+    census = RouterCensus(started=0.0)
+    census.own({"b", "d"}, SETTLING_S)
+    assert census.place_of(name, SETTLING_S)[0] == 3
