Feed: a router that waits for a majority stays connected and hears of it at once

After all power was lost the routers went from controller to controller and had their tables up to 0.4 s after the groups had leaders again. A router now stays where it is while no other controller has rested, and a controller without a majority tells its readers ten times a second; a shard without instances no longer keeps a first table back. Calls that find no leader are logged once and not at every try; tests bring both about.

--- a/ochrespan/control_plane/control_service.py
+++ b/ochrespan/control_plane/control_service.py
@@ -33,7 +33,7 @@
 
 log = logging.getLogger(__name__)
 
-RETRY_PAUSE_S = 0.03
+RETRY_PAUSE_S = 0.04
 
 
 class Peers:
@@ -111,16 +111,20 @@
             return NotTheLeader()
 
     def _at_leader(self, shard: int, request: Any, timeout: float) -> Answer:
-        deadline = monotonic() + timeout
+        deadline, failure = monotonic() + timeout, "no leader"
         while (remaining := deadline - monotonic()) > 0:
-            answer = self._try_leader(shard, request, remaining)
+            try:
+                answer = self._try_leader(shard, request, remaining)
+            except CallFailed as error:
+                answer, failure = None, str(error)
             if answer is not None:
                 return answer
             gevent.sleep(RETRY_PAUSE_S)
-        return unavailable(f"shard {shard}", "no leader that answered in time")
+        log.info("no verdict shard=%d reason=%r", shard, failure)
+        return unavailable(f"shard {shard}", failure)
 
     def _try_leader(self, shard: int, request: Any, timeout: float) -> Answer | None:
-        """An answer, or None where there was no leader to give one."""
+        """An answer, or None where there was no leader to give one; raises CallFailed."""
         try:
             if self._groups.is_leader(shard):
                 return self._handlers[type(request)](request)
@@ -130,7 +134,4 @@
             reply = self._peers.call(leader, request, timeout)
         except NotLeader:
             return None
-        except CallFailed as error:
-            log.info("call not passed on shard=%d error=%r", shard, str(error))
-            return None
         return reply if isinstance(reply, Answer) else None
--- a/ochrespan/control_plane/controller_choice.py
+++ b/ochrespan/control_plane/controller_choice.py
@@ -9,7 +9,7 @@
 from ..transport.tcp import Address, format_address
 
 SHORTEST_BACK_OFF_S = 0.2
-LONGEST_BACK_OFF_S = 4.0
+LONGEST_BACK_OFF_S = 2.0
 SHORTEST_PAUSE_S = 0.01
 LONGEST_PAUSE_S = 0.6
 TOLD_LASTS_S = 600.0
@@ -59,6 +59,12 @@
         at_hand = self._candidates[best]
         return at_hand.zone == self._zone != self._candidates[current].zone and at_hand.not_before <= now
 
+    def another_has_rested(self, current: Address, now: float) -> bool:
+        """Whether a controller other than `current` may be tried now."""
+        return any(
+            address != current and candidate.not_before <= now for address, candidate in self._candidates.items()
+        )
+
     def failed(self, address: Address, now: float, draw: float) -> None:
         """The controller did not serve; `draw` from 0 to 1 spreads the routers' next tries."""
         candidate = self._candidates[address]
--- a/ochrespan/control_plane/feed_client.py
+++ b/ochrespan/control_plane/feed_client.py
@@ -155,7 +155,11 @@
         self.leaders = {shard: (leader[0], leader[1]) for shard, leader in freshness.leaders.items()}
         self._choice.told({(ip, port): zone for ip, port, zone in freshness.controllers}, monotonic())
         if (age := longest(freshness.quorum_ages)) > OLDEST_QUORUM_S:
-            raise LeaveController(f"no majority for {age:.1f} s")
+            self.controller = None
+            if self._choice.another_has_rested(address, monotonic()):
+                raise LeaveController(f"no majority for {age:.1f} s")
+            self._publish_after_patience()
+            return
         if (lag := longest(freshness.lags)) > LONGEST_LAG_S:
             raise LeaveController(f"behind other controllers for {lag:.1f} s")
         self.controller = address
@@ -181,11 +185,11 @@
                     raise LeaveController(f"shard {shard} has another log at {format_address(address)}")
 
     def _draft_changed(self, draft: FleetTable, change: FleetChange) -> None:
-        if draft is self._draft:
-            return
-        self._draft = draft
+        unchanged, self._draft = draft is self._draft, draft
         if self._complete_since is None and self._is_complete():
             self._complete_since = monotonic()
+        if unchanged:
+            return
         if self.table is not None:
             self._publish(change)
 
--- a/ochrespan/control_plane/feed_server.py
+++ b/ochrespan/control_plane/feed_server.py
@@ -24,13 +24,14 @@
     FeedSnapshot,
     Freshness,
     Subscribe,
+    longest,
     pack_configuration_change,
     pack_instances_change,
 )
 from .instances import InstanceMachine, InstancesChange
 from .lag_watch import LagWatch
 from .orders import ConfigurationMachine, Verdict
-from .owners import ReplicaGroups, applied_offsets
+from .owners import FRESH_QUORUM_S, ReplicaGroups, applied_offsets
 from .presence import RouterCensus
 
 log = logging.getLogger(__name__)
@@ -38,6 +39,7 @@
 HISTORY_BYTES = 4 * 1024 * 1024
 HISTORY_CHANGES = 4096
 SNAPSHOT_LASTS_S = 1.0
+WAITING_INTERVAL_S = 0.1  # between messages while readers wait for a majority
 
 
 @dataclass(slots=True)
@@ -155,10 +157,10 @@
     def run(self) -> None:
         """Tells the subscribers how fresh the feed is until the greenlet is killed."""
         while True:
-            gevent.sleep(FRESHNESS_INTERVAL_S)
-            self.send_freshness()
+            is_fresh = longest(self.send_freshness().quorum_ages) <= FRESH_QUORUM_S
+            gevent.sleep(FRESHNESS_INTERVAL_S if is_fresh else WAITING_INTERVAL_S)
 
-    def send_freshness(self) -> None:
+    def send_freshness(self) -> Freshness:
         """One round of freshness messages; connections that have ended are dropped."""
         for connection in [each for each in self._subscribers if each.closed]:
             self._drop(connection)
@@ -166,6 +168,7 @@
         freshness = self._freshness()
         for subscriber in list(self._subscribers.values()):
             self._send(subscriber, encode(self._freshness_for(subscriber, freshness)))
+        return freshness
 
     def _missed(self, shard: int, history: ShardHistory, offset: int) -> list[bytes]:
         missed = history.since(offset) if offset else None
--- a/tests/test_controller_choice.py
+++ b/tests/test_controller_choice.py
@@ -48,3 +48,11 @@
     choice.add_seeds([B])
     choice.told({}, 3 * TOLD_LASTS_S)
     assert choice.best(3 * TOLD_LASTS_S) == B
+
+
+def test_another_controller_is_worth_a_try_only_once_it_has_rested():
+    choice = ControllerChoice("edge-1", "z", [A, B])
+    assert choice.another_has_rested(A, 0.0)
+    choice.failed(B, 0.0, 1.0)
+    assert not choice.another_has_rested(A, 0.1) and choice.another_has_rested(A, 0.5)
+    assert not ControllerChoice("edge-1", "z", [A]).another_has_rested(A, 0.0)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import gevent
 import pytest
 from gevent.event import Event
 
@@ -32,6 +33,12 @@
             if condition(table):
                 event.set()
 
+    def wait_for_draft(self, version: int) -> None:
+        """Waits until the configuration is known, whether or not it is good enough to serve by."""
+        with gevent.Timeout(PATIENCE_S):
+            while self.client._draft.version != version:
+                gevent.idle()
+
     def wait(self, condition: Callable[[FleetTable], bool]) -> FleetTable:
         event = Event()
         self._waiting.append((condition, event))
@@ -189,3 +196,27 @@
     table = router.wait(lambda table: set(table.instances_of("judges")) == {"fresh"})
     assert table.version == 5
     anew.close()
+
+
+def test_a_router_that_waits_for_a_majority_serves_as_soon_as_there_is_one(world, routers):
+    world.controllers[0].put_config(configuration(5), 0)
+    for controller in world.controllers:
+        controller.groups.quorum_ages = dict.fromkeys(controller.groups.quorum_ages, float("inf"))
+    router = Router(world, controllers=3)
+    routers.append(router)
+    router.wait_for_draft(5)
+    assert router.client.table is None
+    for controller in world.controllers:
+        controller.groups.quorum_ages = dict.fromkeys(controller.groups.quorum_ages, 0.0)
+    assert router.wait(lambda table: table.version == 5).configuration.routes
+
+
+def test_without_any_majority_a_router_serves_by_what_there_is_after_some_patience(world, routers, monkeypatch):
+    monkeypatch.setattr("ochrespan.control_plane.feed_client.PATIENCE_S", 0.0)
+    world.controllers[0].put_config(configuration(5), 0)
+    for controller in world.controllers:
+        controller.groups.quorum_ages = dict.fromkeys(controller.groups.quorum_ages, float("inf"))
+    router = Router(world, controllers=3)
+    routers.append(router)
+    assert router.wait(lambda table: table.version == 5)
+    assert router.client.controller is None
