Feed client: a short first timeout for connections to controllers

After a loss of all power five of nine routers waited a whole second for a controller's machine that was still down, while the others were up: their tables came at 36.04 to 36.12 s.

--- a/ochrespan/control_plane/controller_choice.py
+++ b/ochrespan/control_plane/controller_choice.py
@@ -10,6 +10,8 @@
 
 SHORTEST_BACK_OFF_S = 0.2
 LONGEST_BACK_OFF_S = 2.0
+SHORTEST_CONNECT_TIMEOUT_S = 0.25
+LONGEST_CONNECT_TIMEOUT_S = 1.0
 SHORTEST_PAUSE_S = 0.01
 LONGEST_PAUSE_S = 0.6
 TOLD_LASTS_S = 600.0
@@ -72,6 +74,11 @@
         back_off = min(SHORTEST_BACK_OFF_S * 2 ** min(candidate.failures, 10), LONGEST_BACK_OFF_S)
         candidate.not_before = now + back_off * (0.5 + draw / 2)
 
+    def connect_timeout(self, address: Address) -> float:
+        """How long to wait for a connection: a machine that is down says nothing, while another may be up already."""
+        failures = min(self._candidates[address].failures, 10)
+        return min(SHORTEST_CONNECT_TIMEOUT_S * 2**failures, LONGEST_CONNECT_TIMEOUT_S)
+
     def succeeded(self, address: Address) -> None:
         """The controller serves well."""
         self._candidates[address].failures = 0
--- a/ochrespan/control_plane/feed_client.py
+++ b/ochrespan/control_plane/feed_client.py
@@ -39,7 +39,6 @@
 
 log = logging.getLogger(__name__)
 
-CONNECT_TIMEOUT_S = 1.0
 SILENCE_LIMIT_S = 1.2
 OLDEST_QUORUM_S = 1.0
 LONGEST_LAG_S = 0.4
@@ -101,7 +100,7 @@
     def _follow(self, address: Address) -> None:
         connection = None
         try:
-            connection = dial(address, CONNECT_TIMEOUT_S)
+            connection = dial(address, self._choice.connect_timeout(address))
             connection.limit_silence(SILENCE_LIMIT_S)
             connection.send(Subscribe(self._node, self._zone, dict(self._offsets)))
             self._read(address, connection, since=monotonic())
--- a/tests/test_controller_choice.py
+++ b/tests/test_controller_choice.py
@@ -56,3 +56,14 @@
     choice.failed(B, 0.0, 1.0)
     assert not choice.another_has_rested(A, 0.1) and choice.another_has_rested(A, 0.5)
     assert not ControllerChoice("edge-1", "z", [A]).another_has_rested(A, 0.0)
+
+
+def test_a_machine_that_says_nothing_holds_a_router_up_for_a_short_time_at_first():
+    choice = ControllerChoice("edge-1", "z", [A, B])
+    timeouts = []
+    for _ in range(5):
+        timeouts.append(choice.connect_timeout(A))
+        choice.failed(A, 0.0, 1.0)
+    assert timeouts == [0.25, 0.5, 1.0, 1.0, 1.0]
+    choice.succeeded(A)
+    assert choice.connect_timeout(A) == 0.25
