Quotas: requests that waited renew their tokens, and a silent owner leaves a learned share

Tokens count when a request reaches its server, so one that waited long must take them anew, and an even part of the sure share was too small for a router that had carried most of a tenant. A renewal returns the old tokens to the owner and takes them again; without an owner a router spends by what it was granted in the last window, and it asks the controller that it follows when the known owner is gone.

--- a/ochrespan/control_plane/quota.py
+++ b/ochrespan/control_plane/quota.py
@@ -11,13 +11,13 @@
 from collections import deque
 from dataclasses import dataclass
 
-GRANT_LIFETIME_S = 1.0
-SEND_DELAY_S = 0.5  # from the moment when tokens are taken to the arrival of the request at a server
+GRANT_LIFETIME_S = 0.5
+SEND_DELAY_S = 0.3  # from the moment when tokens are taken to the arrival of the request at a server
 SURE_PART = 0.5  # of what the bound leaves above rate and burst
-SURE_RATE_PART = 0.4  # of the sure share that comes at a rate, the rest lying ready
 RATE_PART = 0.5  # of the overshoot that goes into the rate
 SHORTEST_WAIT_S = 0.001
 AHEAD_PART = 0.25  # of the bucket's level: at most this much is granted for requests that have not come yet
+EVEN_PART = 0.2  # of the sure share is dealt evenly to the routers, the rest by what they were granted
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,12 +35,17 @@
 
 @dataclass(frozen=True, slots=True)
 class QuotaTerms:
-    """A tenant's bucket at its owner, and the sure share of all routers together."""
+    """A tenant's bucket at its owner, and the sure share, which routers spend that reach no owner."""
 
     rate: float
     depth: float
-    sure_rate: float
-    sure_depth: float
+    sure: float  # in any window, over all routers
+    window_s: float
+
+    @property
+    def most_granted(self) -> float:
+        """The most that the owner grants in any window."""
+        return self.rate * self.window_s + self.depth
 
 
 def terms_for(rate: float, burst: float, bounds: QuotaBounds) -> QuotaTerms:
@@ -49,11 +54,10 @@
     granting_s = bounds.window_s + GRANT_LIFETIME_S + SEND_DELAY_S
     room = max(0.0, allowed - rate * granting_s - burst)
     sure = SURE_PART * room
-    sure_rate = SURE_RATE_PART * sure / (bounds.window_s + SEND_DELAY_S)
     raised = rate * (1 + RATE_PART * bounds.overshoot)
     owner_rate = max(0.0, min(raised, (allowed - sure - burst) / granting_s))
     depth = min(burst * (1 + bounds.overshoot) + rate, allowed - sure - owner_rate * granting_s)
-    return QuotaTerms(owner_rate, max(0.0, depth), sure_rate, (1 - SURE_RATE_PART) * sure)
+    return QuotaTerms(owner_rate, max(0.0, depth), sure, bounds.window_s)
 
 
 class TokenBucket:
@@ -105,6 +109,55 @@
         return SHORTEST_WAIT_S + missing / self.rate if self.rate > 0 else float("inf")
 
 
+class SlidingSum:
+    """The sum of what was added within the last seconds."""
+
+    def __init__(self, span_s: float) -> None:
+        self._span_s = span_s
+        self._parts: deque[tuple[float, float]] = deque()
+        self._sum = 0.0
+
+    def add(self, amount: float, now: float) -> None:
+        """Adds an amount that counts from now on."""
+        self._parts.append((now, amount))
+        self._sum += amount
+
+    def total(self, now: float) -> float:
+        """The present sum."""
+        while self._parts and now - self._parts[0][0] > self._span_s:
+            self._sum -= self._parts.popleft()[1]
+        if not self._parts:
+            self._sum = 0.0
+        return self._sum
+
+
+class SureShare:
+    """What a router may spend of a tenant's tokens where no owner answers.
+
+    The routers' parts add up to one at most: a small part is dealt evenly, the rest by what each was granted lately.
+    """
+
+    def __init__(self, terms: QuotaTerms) -> None:
+        self.terms = terms
+        self.even_share = 0.0
+        self._granted = SlidingSum(terms.window_s)
+        self._spent = SlidingSum(terms.window_s + SEND_DELAY_S)
+
+    def granted(self, tokens: float, now: float) -> None:
+        """The owner has granted tokens to this router."""
+        self._granted.add(tokens, now)
+
+    def take(self, tokens: float, now: float) -> bool:
+        """Spends the tokens if this router's part has them left."""
+        most = max(self.terms.most_granted, 1e-9)
+        learned = min(1.0, self._granted.total(now) / most)
+        part = EVEN_PART * self.even_share + (1 - EVEN_PART) * learned
+        if self._spent.total(now) + tokens > part * self.terms.sure:
+            return False
+        self._spent.add(tokens, now)
+        return True
+
+
 @dataclass(slots=True)
 class _Held:
     tokens: float
@@ -127,6 +180,11 @@
         if tokens > 0:
             self._grants.append(_Held(tokens, asked_at + GRANT_LIFETIME_S, epoch))
 
+    def give_back(self, tokens: float, epoch: int) -> None:
+        """Tokens that were taken out of a grant, and surely will not be spent."""
+        if epoch == self.epoch:
+            self._left_over += tokens
+
     def available(self, now: float) -> float:
         """Tokens that may be spent now."""
         while self._grants and self._grants[0].expires_at <= now:
--- a/ochrespan/control_plane/quota_client.py
+++ b/ochrespan/control_plane/quota_client.py
@@ -1,13 +1,14 @@
 """A router's end of the quotas: takes tokens for requests out of grants of the tenants' owners.
 
-`try_take` never waits. `take` asks the owner where the grants at hand do not suffice, and waits for a short time; a
-tenant with many requests gets grants ahead of them, so that most requests need not wait. A request calls one of them.
+`take` is called when a request comes; where the grants at hand do not suffice it asks the owner, and waits for a short
+time. A tenant with many requests gets grants ahead of them, so that most requests need not wait. A request that is sent
+later than SEND_DELAY_S after that calls `renew` first, since its tokens count when it reaches its server.
 """
 
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from time import monotonic
 from typing import Any
@@ -16,19 +17,20 @@
 
 from ..transport.rpc import CallFailed
 from ..transport.tcp import Address
-from .quota import GrantedTokens, QuotaBounds, TokenBucket, terms_for
+from .quota import SEND_DELAY_S, GrantedTokens, QuotaBounds, SureShare, terms_for
 from .quota_messages import Grant, GrantRequest, NotTheOwner
 from .views import QuotaUnit, Tenant
 
 log = logging.getLogger(__name__)
 
-ANSWER_TIMEOUT_S = 0.4
-SILENT_OWNER_PAUSE_S = 0.25  # an owner that did not answer is not asked again for this long
+ANSWER_TIMEOUT_S = 0.3
+SILENT_OWNER_PAUSE_S = 0.1  # where no owner answered, none is asked again for this long
+NO_OWNER_RETRY_S = 0.3
+MOST_ASKED = 3
 AHEAD_S = 0.2  # of a tenant's demand is asked for ahead
 AHEAD_FROM_REQUESTS_PER_S = 10.0
 DEMAND_WEIGHT = 0.5  # of the last second, in the mean of the demand
 DEMAND_INTERVAL_S = 1.0
-START_PART = 0.5  # of its sure share lies ready when a router starts
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +39,16 @@
 
     allowed: bool
     retry_after_s: float = 0.0
+    tokens: float = 0.0
+    epoch: int | None = None  # of the grant; None for the sure share, and for tenants without a limit
+    at: float = 0.0
+
+    def holds(self, now: float) -> bool:
+        """Whether the request may be sent now without renewing its tokens."""
+        return self.tokens == 0.0 or now - self.at <= SEND_DELAY_S
+
+
+UNLIMITED = Taken(True)
 
 
 @dataclass(slots=True)
@@ -64,7 +76,7 @@
 
 @dataclass(slots=True)
 class _TenantState:
-    sure: TokenBucket
+    sure: SureShare
     demand: _Demand
     granted: GrantedTokens = field(default_factory=GrantedTokens)
     asking_ahead: bool = False
@@ -72,39 +84,40 @@
 
 
 class QuotaClient:
-    """`owner_of(tenant)` names the process to ask, `call(address, request, timeout)` asks it or raises CallFailed."""
+    """`ask_at(tenant)` names the processes to ask in turn: the owner as far as it is known, and who may know better.
+
+    `call(address, request, timeout)` asks one of them, or raises CallFailed.
+    """
 
     def __init__(
         self,
         router: str,
         bounds: QuotaBounds,
-        owner_of: Callable[[str], Address | None],
+        ask_at: Callable[[str], Sequence[Address]],
         call: Callable[[Address, Any, float], Any],
         clock: Callable[[], float] = monotonic,
     ) -> None:
         self._router = router
         self._bounds = bounds
-        self._owner_of = owner_of
+        self._ask_at = ask_at
         self._call = call
         self._clock = clock
         self._states: dict[str, _TenantState] = {}
 
     def configure(self, tenants: Mapping[str, Tenant], router_count: int) -> None:
         """To be called when the tenants or the count of routers have changed."""
-        now, share = self._clock(), 1 / max(1, router_count)
         limited = {name: tenant for name, tenant in tenants.items() if tenant.rate_per_s > 0}
         for name in self._states.keys() - limited.keys():
             del self._states[name]
         for name, tenant in limited.items():
             terms = terms_for(tenant.rate_per_s, tenant.burst, self._bounds)
-            state = self._states.get(name)
-            if state is None:
-                state = self._states[name] = _TenantState(TokenBucket(0.0, 0.0, now), _Demand(now))
-                state.sure.level = START_PART * terms.sure_depth * share
-            state.sure.change(terms.sure_rate * share, terms.sure_depth * share, now)
+            if name not in self._states:
+                self._states[name] = _TenantState(SureShare(terms), _Demand(self._clock()))
+            self._states[name].sure.terms = terms
+            self._states[name].sure.even_share = 1 / max(1, router_count)
 
     def try_take(self, tenant: str, tokens: float, now: float) -> bool:
-        """Takes the tokens out of the grants at hand; true for a tenant without a limit."""
+        """Takes the tokens out of the grants at hand without waiting; true for a tenant without a limit."""
         state = self._states.get(tenant)
         if state is None:
             return True
@@ -115,16 +128,36 @@
 
     def take(self, tenant: str, tokens: float) -> Taken:
         """Takes the tokens, asking the owner if need be; where no owner answers, out of this router's sure share."""
-        if self.try_take(tenant, tokens, self._clock()):
-            return Taken(True)
+        now = self._clock()
+        if self.try_take(tenant, tokens, now):
+            return self._taken(tenant, tokens, now)
+        return self._take_by_asking(tenant, tokens)
+
+    def renew(self, tenant: str, taken: Taken) -> Taken:
+        """Takes the tokens of a request anew that has not been sent: nothing changes if they still hold."""
+        state = self._states.get(tenant)
+        if state is None or taken.holds(self._clock()):
+            return taken
+        if taken.epoch is None:
+            return Taken(True, 0.0, taken.tokens, None, self._clock())
+        state.granted.give_back(taken.tokens, taken.epoch)
+        return self._take_by_asking(tenant, taken.tokens)
+
+    def _take_by_asking(self, tenant: str, tokens: float) -> Taken:
         state = self._states[tenant]
         grant = self._ask(tenant, state, tokens, state.demand.wanted_ahead())
         now = self._clock()
         if state.granted.take(tokens, now):
-            return Taken(True)
-        if grant is None:
-            return Taken(state.sure.take(tokens, now), min(1.0, state.sure.wait_for(tokens, now)))
-        return Taken(False, grant.retry_after_s)
+            return self._taken(tenant, tokens, now)
+        if grant is not None:
+            return Taken(False, grant.retry_after_s)
+        if state.sure.take(tokens, now):
+            return Taken(True, 0.0, tokens, None, now)
+        return Taken(False, NO_OWNER_RETRY_S)
+
+    def _taken(self, tenant: str, tokens: float, now: float) -> Taken:
+        state = self._states.get(tenant)
+        return UNLIMITED if state is None else Taken(True, 0.0, tokens, state.granted.epoch, now)
 
     def _ask_ahead(self, tenant: str, state: _TenantState, now: float) -> None:
         wanted = state.demand.wanted_ahead()
@@ -145,23 +178,32 @@
             return None
         left_over = state.granted.take_left_over()
         request = GrantRequest(tenant, self._router, needed, ahead, left_over, state.granted.epoch)
-        reply = self._ask_owner(self._owner_of(tenant), request)
-        if isinstance(reply, NotTheOwner) and reply.ip:
-            reply = self._ask_owner((reply.ip, reply.port), request)
-        if not isinstance(reply, Grant):
+        grant = self._ask_in_turn(list(self._ask_at(tenant)), request)
+        if grant is None:
             state.silent_until = self._clock() + SILENT_OWNER_PAUSE_S
             return None
-        state.granted.add(reply.tokens, asked_at, reply.epoch)
-        return reply
-
-    def _ask_owner(self, owner: Address | None, request: GrantRequest) -> Any:
-        if owner is None:
-            return None
-        try:
-            return self._call(owner, request, ANSWER_TIMEOUT_S)
-        except CallFailed as error:
-            log.info("no grant tenant=%s error=%r", request.tenant, str(error))
-            return None
+        state.granted.add(grant.tokens, asked_at, grant.epoch)
+        state.sure.granted(grant.tokens, asked_at)
+        return grant
+
+    def _ask_in_turn(self, addresses: list[Address], request: GrantRequest) -> Grant | None:
+        """The first grant; an owner that one of them names is asked next, and nobody is asked twice."""
+        asked: set[Address] = set()
+        while addresses and len(asked) < MOST_ASKED:
+            address = addresses.pop(0)
+            if address in asked:
+                continue
+            asked.add(address)
+            try:
+                reply = self._call(address, request, ANSWER_TIMEOUT_S)
+            except CallFailed as error:
+                log.info("no grant tenant=%s error=%r", request.tenant, str(error))
+                continue
+            if isinstance(reply, Grant):
+                return reply
+            if isinstance(reply, NotTheOwner) and reply.ip:
+                addresses.insert(0, (reply.ip, reply.port))
+        return None
 
 
 def cost_of(tenant: Tenant, token_usage: tuple[float, float] | None) -> float:
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -6,10 +6,12 @@
 import pytest
 from gevent.event import Event
 
+from ochrespan.control_plane.control_service import Peers
 from ochrespan.control_plane.feed_client import FeedClient
 from ochrespan.control_plane.fleet_table import FleetChange, FleetTable
+from ochrespan.control_plane.router_quota import configure_quotas, quota_client_for
 from ochrespan.coordination.shards import shard_of
-from tests.control_plane_world import World, configuration, instance, route
+from tests.control_plane_world import World, configuration, instance, route, tenant
 
 PATIENCE_S = 5.0
 
@@ -220,3 +222,21 @@
     routers.append(router)
     assert router.wait(lambda table: table.version == 5)
     assert router.client.controller is None
+
+
+def test_routers_take_tokens_from_the_owner_also_after_it_has_moved(world, routers):
+    world.controllers[0].put_config(configuration(5, tenants=[tenant("t", "k", rate_per_s=1000, burst=1000)]), 0)
+    router = Router(world, controllers=3)
+    routers.append(router)
+    table = router.wait(lambda table: table.version == 5)
+    quotas = quota_client_for("edge-1", {"quota_window_s": 8, "quota_overshoot": 0.1}, router.client, Peers())
+    configure_quotas(quotas, table)
+    with gevent.Timeout(PATIENCE_S):
+        while (taken := quotas.take("t", 1.0)).epoch is None:
+            gevent.idle()
+    world.controllers[1].groups.lead()
+    former = taken.epoch
+    with gevent.Timeout(PATIENCE_S):
+        while quotas.take("t", 1.0).epoch in (None, former):
+            gevent.idle()
+    assert not quotas.take("t", 1e9).allowed and quotas.take("somebody without a limit", 1e9).allowed
