--- /dev/null
+++ b/tests/test_controller_process.py
@@ -0,0 +1,158 @@
+"""Three controller processes on loopback: orders and instances through kills, with the history checked afterwards."""
+
+from __future__ import annotations
+
+import itertools
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import gevent
+import pytest
+import yaml
+from returns.result import Result, Success
+
+from ochrespan.coordination.shards import shard_of
+from ochrespan.programs.control_client import CallError, ControlClient
+from tests.control_plane_world import configuration, instance, route
+
+CONTROL_PORT, PEER_PORT = 18367, 17500
+PATIENCE_S = 30.0
+ROOT = Path(__file__).parent.parent
+_networks = itertools.count(os.getpid() % 200)
+
+
+class Core:
+    """The processes of a core; each has its own address and folder."""
+
+    def __init__(self, folder: Path) -> None:
+        network = f"127.77.{next(_networks) % 250}"
+        self.hosts = [f"{network}.{number}" for number in (1, 2, 3)]
+        self._folder = folder
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        for host in self.hosts:
+            (folder / host).mkdir()
+            self.start(host, bootstrap=True)
+
+    def start(self, host: str, bootstrap: bool = False) -> None:
+        settings = {
+            "node": host, "ip": host, "zone": f"zone-{host}", "port_range": [PEER_PORT, PEER_PORT + 15],
+            "listen": {"control": f"{host}:{CONTROL_PORT}"}, "seeds": [f"{each}:{CONTROL_PORT}" for each in self.hosts],
+            "bootstrap": bootstrap, "data_dir": str(self._folder / host), "limits": {"disk_mb": 16},
+            "fault_tolerance": {"machines": 1}, "heartbeat_ms": 1200,
+        }
+        path = self._folder / f"{host}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        with (self._folder / f"{host}.log").open("ab") as log:
+            self._processes[host] = subprocess.Popen(
+                [sys.executable, "-m", "ochrespan.programs.controller"], stderr=log, cwd=ROOT,
+                env={**os.environ, "OCHRESPAN_SETTINGS": str(path)},
+            )
+
+    def end(self, host: str, number: signal.Signals) -> int:
+        self._processes[host].send_signal(number)
+        return self._processes[host].wait(PATIENCE_S)
+
+    def close(self) -> None:
+        for process in self._processes.values():
+            process.kill()
+            process.wait(PATIENCE_S)
+
+    def client(self, *hosts: str) -> ControlClient:
+        return ControlClient([(host, CONTROL_PORT) for host in hosts or self.hosts], gevent.sleep)
+
+    def get(self, path: str) -> Any:
+        """From whichever controller answers first; a status is that controller's own view."""
+        return _certain(lambda: self.client().get(path)).unwrap()
+
+    def leader(self, shard: int) -> str:
+        with gevent.Timeout(PATIENCE_S):
+            while (leader := self.get("/api/status")["shards"][shard]["leader"]) is None:
+                gevent.sleep(0)
+        return leader.split(":")[0]
+
+
+def _certain(call: Any) -> Result[Any, CallError]:
+    """Calls until there is a verdict."""
+    with gevent.Timeout(PATIENCE_S):
+        while True:
+            result = call()
+            if isinstance(result, Success) or (result.failure().status or 503) < 500:
+                return result
+
+
+def put(client: ControlClient, document: dict[str, Any], version: int) -> int:
+    result = _certain(lambda: client.put("/api/config", document, {"If-Match": str(version)}))
+    return 200 if isinstance(result, Success) else result.failure().status
+
+
+@pytest.fixture
+def core(tmp_path):
+    core = Core(tmp_path)
+    yield core
+    core.close()
+
+
+def test_orders_through_kills_of_leaders_and_of_all_leave_one_line_of_versions(core):
+    assert put(core.client(), configuration(1), 0) == 200
+    taken: dict[int, tuple[int, str]] = {1: (1, "r1")}
+    builds_on: dict[int, int] = {}
+
+    def operate(operator: int) -> None:
+        for turn in range(4):
+            version = core.get("/api/config")["generation"]
+            name = f"o{operator}t{turn}"
+            document = configuration(version + 1 + operator, route(name))
+            first = core.hosts[(operator + turn) % 3]
+            status = put(core.client(first, *core.hosts), document, version)
+            assert status in (200, 412)
+            if status == 200:
+                assert version not in builds_on and document["generation"] not in taken
+                builds_on[version], taken[document["generation"]] = document["generation"], (version, name)
+                assert put(core.client(), document, version) == 200
+
+    operators = [gevent.spawn(operate, number) for number in range(8)]
+    killed = core.leader(0)
+    core.end(killed, signal.SIGKILL)
+    core.start(killed)
+    gevent.joinall(operators, raise_error=True)
+    for host in core.hosts:
+        core.end(host, signal.SIGKILL)
+    for host in core.hosts:
+        core.start(host)
+    newest = max(taken)
+    document = core.get("/api/config")
+    assert (document["generation"], document["routes"][0]["name"]) == (newest, taken[newest][1])
+    line, version = [1], 1
+    while version in builds_on:
+        version = builds_on[version]
+        line.append(version)
+    assert sorted(taken) == line
+    for generation, (version, name) in list(taken.items())[1:]:
+        assert put(core.client(), configuration(generation, route(name)), version) == 200
+
+
+def test_a_draining_that_was_acknowledged_outlives_its_leader_and_sigterm_ends_well(core):
+    report = core.client(core.hosts[0])
+    assert isinstance(_certain(lambda: report.put("/api/instances/i-1", instance(1))), Success)
+    assert isinstance(_certain(lambda: report.put("/api/instances/i-1", instance(2, "draining"))), Success)
+    shard = shard_of("judges")
+    former = core.leader(shard)
+    assert core.end(former, signal.SIGTERM) == 0
+    survivors = core.client(*(host for host in core.hosts if host != former))
+    assert isinstance(_certain(lambda: survivors.put("/api/instances/i-1", instance(3))), Success)
+    status = core.client(core.leader(shard)).get("/api/status").unwrap()
+    assert [each["state"] for each in status["instances"]] == ["draining"]
+
+
+def test_bad_settings_end_a_controller_with_every_fault_named(tmp_path):
+    path = tmp_path / "node.yaml"
+    path.write_text("node: core-1\nzone: 7\n")
+    ended = subprocess.run(
+        [sys.executable, "-m", "ochrespan.programs.controller"], capture_output=True, cwd=ROOT, timeout=PATIENCE_S,
+        env={**os.environ, "OCHRESPAN_SETTINGS": str(path)}, check=False,
+    )
+    assert ended.returncode == 78 and ended.stderr.decode().count("settings refused where=") == 5
