--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,191 @@
+"""The change feed over loopback: controllers that share an in-memory log, and the routers that follow them."""
+
+from collections.abc import Callable
+
+import pytest
+from gevent.event import Event
+
+from ochrespan.control_plane.feed_client import FeedClient
+from ochrespan.control_plane.fleet_table import FleetChange, FleetTable
+from ochrespan.coordination.shards import shard_of
+from tests.control_plane_world import World, configuration, instance, route
+
+PATIENCE_S = 5.0
+
+
+class Router:
+    """A feed client, the tables that it was given, and a way to wait for one of them."""
+
+    def __init__(self, world: World, node: str = "edge-1", controllers: int = 1, first: int = 0) -> None:
+        addresses = world.addresses()[first : first + controllers]
+        self.client = FeedClient(node, "z", addresses)
+        self.history: list[FleetTable] = []
+        self.changes: list[FleetChange] = []
+        self._waiting: list[tuple[Callable[[FleetTable], bool], Event]] = []
+        self.client.on_change = self._changed
+        self.client.start()
+
+    def _changed(self, table: FleetTable, change: FleetChange) -> None:
+        self.history.append(table)
+        self.changes.append(change)
+        for condition, event in self._waiting:
+            if condition(table):
+                event.set()
+
+    def wait(self, condition: Callable[[FleetTable], bool]) -> FleetTable:
+        event = Event()
+        self._waiting.append((condition, event))
+        if self.client.table is not None and condition(self.client.table):
+            return self.client.table
+        assert event.wait(PATIENCE_S), self.client.table
+        return self.client.table
+
+
+@pytest.fixture
+def world():
+    world = World(members=3)
+    yield world
+    world.close()
+
+
+@pytest.fixture
+def routers():
+    started: list[Router] = []
+    yield started
+    for router in started:
+        router.client.stop()
+
+
+def test_a_router_has_no_table_before_the_first_configuration_then_gets_all_changes(world, routers):
+    router = Router(world)
+    routers.append(router)
+    controller = world.controllers[0]
+    controller.put_instance("i-1", instance(1))
+    assert router.client.table is None
+    controller.put_config(configuration(5, route("r1"), route("r2")), 0)
+    table = router.wait(lambda table: table.version == 5)
+    assert set(table.configuration.routes) == {"r1", "r2"}
+    router.wait(lambda table: "i-1" in table.instances_of("judges"))
+    controller.put_instance("i-1", instance(2, "draining"))
+    router.wait(lambda table: table.instances_of("judges")["i-1"].state == "draining")
+    controller.patch_config({"generation": 6, "delete": {"routes": ["r2"]}}, 5)
+    table = router.wait(lambda table: table.version == 6)
+    assert set(table.configuration.routes) == {"r1"}
+    controller.call("DELETE", "/api/instances/i-1")
+    router.wait(lambda table: not table.instances_of("judges"))
+    assert FleetChange() not in router.changes
+    versions = [table.version for table in router.history]
+    assert versions == sorted(versions)
+
+
+def test_a_router_that_loses_its_controller_goes_on_at_another_from_its_offset(world, routers):
+    world.controllers[0].put_config(configuration(5), 0)
+    router = Router(world, controllers=3)
+    routers.append(router)
+    router.wait(lambda table: table.version == 5)
+    followed = next(each for each in world.controllers if each.groups.address == router.client.controller)
+    remaining = [each for each in world.controllers if each is not followed]
+    remaining[0].groups.lead()
+    followed.groups.quorum_ages = dict.fromkeys(followed.groups.quorum_ages, 5.0)
+    del world.log.members[followed.groups.address]  # cut off: it applies nothing more
+    assert remaining[0].put_config(configuration(9), 5)[0] == 200
+    router.wait(lambda table: table.version == 9)
+    assert router.client.controller != followed.groups.address
+
+
+def test_routers_know_how_many_they_are_and_their_own_place(world, routers):
+    world.controllers[0].put_config(configuration(5), 0)
+    for name in ("edge-a", "edge-b", "edge-c"):
+        routers.append(Router(world, node=name))
+    for rank, router in enumerate(routers):
+        router.wait(lambda table, rank=rank: (table.router_count, table.router_rank) == (3, rank))
+
+
+def test_a_late_router_gets_the_whole_state_and_one_behind_only_what_it_missed(world, routers):
+    controller = world.controllers[0]
+    controller.put_config(configuration(5), 0)
+    controller.put_instance("i-1", instance(1))
+    first = Router(world)
+    routers.append(first)
+    first.wait(lambda table: "i-1" in table.instances_of("judges"))
+    first.client.stop()
+    before = dict(first.client._offsets)
+    controller.put_config(configuration(6, route("new")), 5)
+    controller.put_instance("i-2", instance(1, address="10.0.0.8:1"))
+    first.client.start()
+    table = first.wait(lambda table: table.version == 6 and len(table.instances_of("judges")) == 2)
+    assert set(table.configuration.routes) == {"new"}
+    shard = shard_of("judges")
+    assert first.client._offsets[0] == before[0] + 1 and first.client._offsets[shard] == before[shard] + 1
+
+
+def test_a_reader_of_changes_that_fails_does_not_end_the_feed(world, routers, caplog):
+    controller = world.controllers[0]
+    controller.put_config(configuration(5), 0)
+    router = Router(world)
+    routers.append(router)
+    router.wait(lambda table: table.version == 5)
+    seen = router.client.on_change
+
+    def fail_after(table: FleetTable, change: FleetChange) -> None:
+        seen(table, change)
+        raise ValueError("the reader's own fault")
+
+    router.client.on_change = fail_after
+    controller.put_config(configuration(6), 5)
+    router.wait(lambda table: table.version == 6)
+    controller.put_config(configuration(7), 6)
+    router.wait(lambda table: table.version == 7)
+    assert "the reader's own fault" in caplog.text
+
+
+def test_a_router_follows_a_controller_whose_state_jumped_ahead_by_a_snapshot(world, routers):
+    leader, behind = world.controllers[0], world.controllers[1]
+    leader.put_config(configuration(5), 0)
+    router = Router(world, first=1)
+    routers.append(router)
+    router.wait(lambda table: table.version == 5)
+    del world.log.members[behind.groups.address]  # it misses what follows
+    leader.put_config(configuration(6), 5)
+    leader.put_config(configuration(8, route("late")), 6)
+    behind.state.configuration.restore(leader.state.configuration.snapshot())
+    behind.groups.applied[0] = leader.groups.applied[0]
+    behind.node.restored(0)
+    table = router.wait(lambda table: table.version == 8)
+    assert set(table.configuration.routes) == {"late"}
+    world.log.members[behind.groups.address] = behind.groups
+    leader.put_config(configuration(9), 8)
+    router.wait(lambda table: table.version == 9)
+
+
+def test_a_router_leaves_a_controller_that_hears_a_majority_but_stays_behind(world, routers):
+    leader, behind = world.controllers[0], world.controllers[1]
+    leader.put_config(configuration(5), 0)
+    router = Router(world, controllers=1, first=1)
+    routers.append(router)
+    router.wait(lambda table: table.version == 5)
+    router.client.seeds_changed(world.addresses())
+    del world.log.members[behind.groups.address]  # its disk hangs: it applies nothing more
+    leader.put_config(configuration(6), 5)
+    router.wait(lambda table: table.version == 6)
+    assert behind.state.configuration.current.version == 5
+
+
+def test_a_router_reads_a_shard_anew_whose_log_began_again_but_keeps_its_configuration(world, routers, monkeypatch):
+    monkeypatch.setattr("ochrespan.control_plane.feed_client.ANOTHER_LOG_S", 0.0)
+    leader = world.controllers[0]
+    leader.put_config(configuration(5), 0)
+    for sequence in (1, 2, 3):
+        leader.put_instance("lost", instance(sequence, capacity=sequence))
+    router = Router(world)
+    routers.append(router)
+    router.wait(lambda table: "lost" in table.instances_of("judges"))
+    router.client.stop()
+    world.close()
+    anew = World()
+    anew.controllers[0].put_instance("fresh", instance(1))
+    router.client.seeds_changed(anew.addresses())
+    router.client.start()
+    table = router.wait(lambda table: set(table.instances_of("judges")) == {"fresh"})
+    assert table.version == 5
+    anew.close()
