Storage under every failing call; replica host split, and what a callback raises ends nothing

A run in which each call of the disk fails once showed that a checkpoint whose first write failed raised on its next attempt, which ended the writer of a real process; it goes on now with the log that it has begun. The same tests end the process before each call and lose power there with every fate (kept, missing, torn) of each unsynced write: 7 records in each of 4 checkpoints, none lost. A callback that raised had cost the entries behind it in its batch; each is guarded now, with a test.

--- a/ochrespan/control_plane/disk_writer.py
+++ b/ochrespan/control_plane/disk_writer.py
@@ -59,6 +59,16 @@
         self._wake.set()
 
     def _run(self) -> None:
+        """Only the disk's own errors are expected; another one must not leave the process without its writer."""
+        while True:
+            try:
+                self._serve()
+            except Exception:
+                log.exception("disk writer failed and goes on")
+                gevent.sleep(RETRY_S)
+                self._wake.set()
+
+    def _serve(self) -> None:
         while True:
             self._wake.wait()
             self._wake.clear()
--- a/ochrespan/control_plane/membership.py
+++ b/ochrespan/control_plane/membership.py
@@ -11,8 +11,10 @@
 import gevent
 from gevent.event import Event
 
-from ..coordination import swim
+from ..coordination import swim_messages
 from ..coordination.members import FleetMember, News
+from ..coordination.swim import Swim
+from ..coordination.swim_messages import SwimMessage
 from ..transport.codec import message
 from ..transport.tcp import Address, format_address
 from ..transport.udp import DatagramEndpoint
@@ -32,21 +34,23 @@
     news: list[list]
 
 
-_KINDS: tuple[type, ...] = (swim.Ping, swim.Ack, swim.Nack, swim.PingRequest, swim.Sync)
+_KINDS: tuple[type, ...] = (
+    swim_messages.Ping, swim_messages.Ack, swim_messages.Nack, swim_messages.PingRequest, swim_messages.Sync,
+)
 _news_fields = tuple(News.__dataclass_fields__)
 
 
-def pack(value: swim.SwimMessage) -> SwimDatagram:
+def pack(value: SwimMessage) -> SwimDatagram:
     names = [name for name in value.__dataclass_fields__ if name != "news"]
     rows = [[getattr(item, name) for name in _news_fields] for item in getattr(value, "news", [])]
     return SwimDatagram(_KINDS.index(type(value)), [getattr(value, name) for name in names], rows)
 
 
-def unpack(datagram: SwimDatagram) -> swim.SwimMessage:
+def unpack(datagram: SwimDatagram) -> SwimMessage:
     """Raises ValueError, TypeError or IndexError where the datagram is malformed."""
     kind = _KINDS[datagram.kind]
     news = [News(*row[: len(_news_fields)]) for row in datagram.news]
-    return kind(*datagram.fields) if kind is swim.Nack else kind(*datagram.fields, news)
+    return kind(*datagram.fields) if kind is swim_messages.Nack else kind(*datagram.fields, news)
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +70,7 @@
     def __init__(self, settings: MembershipSettings, on_change: Callable[[], None]) -> None:
         own = FleetMember(settings.address, settings.role, settings.zone, settings.node)
         self._on_change = on_change
-        self._swim = swim.Swim(own, settings.seeds, random.SystemRandom(), time.monotonic())
+        self._swim = Swim(own, settings.seeds, random.SystemRandom(), time.monotonic())
         self._endpoint = DatagramEndpoint(settings.address, self._received)
         self._wake = Event()
         self._greenlet: gevent.Greenlet | None = None
--- a/ochrespan/control_plane/replica_host.py
+++ b/ochrespan/control_plane/replica_host.py
@@ -6,8 +6,7 @@
 import random
 import time
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any
 
 import gevent
 from gevent.event import AsyncResult, Event
@@ -15,14 +14,18 @@
 from ..coordination.core import Role
 from ..coordination.formation import FormationSettings
 from ..coordination.group_table import GroupTable
-from ..coordination.messages import Address, Entry, EntryKind
+from ..coordination.messages import Address
 from ..storage.files import PosixDirectory
 from ..storage.store import Store
 from ..transport import rpc
-from ..transport.tcp import Connection, format_address
+from ..transport.tcp import Connection
+from .applier import Applier, call_back
 from .disk_writer import RETRY_S, DiskWriter
 from .peer_links import PeerLinks
 from .raft_wire import RaftBatch, pack_envelope, pack_image, pack_record, replay, unpack_envelope, unpack_image
+from .replica_types import HostSettings, NotLeader, NoVerdict, StateMachine
+
+__all__ = ["HostSettings", "NoVerdict", "NotLeader", "ReplicaHost", "StateMachine"]
 
 log = logging.getLogger(__name__)
 
@@ -33,56 +36,17 @@
 MEGABYTE = 1024 * 1024
 
 
-class StateMachine(Protocol):
-    """A shard's state. `apply` has to be deterministic."""
-
-    def apply(self, index: int, command: bytes) -> Any:
-        """Carries a committed command out; the result goes to its proposer."""
-
-    def snapshot(self) -> bytes: ...
-
-    def restore(self, data: bytes) -> None: ...
-
-
-class NoVerdict(Exception):
-    """The command may or may not be applied: the leader was lost, time ran out, or there is no quorum."""
-
-
-class NotLeader(Exception):
-    """The command was surely not appended here. `leader`: who may lead, if known."""
-
-    def __init__(self, leader: Address | None) -> None:
-        super().__init__(f"the leader is {format_address(leader) if leader else 'unknown'}")
-        self.leader = leader
-
-
-@dataclass(frozen=True, slots=True)
-class HostSettings:
-    """Addresses are those for other processes of the fleet: the IP and the first port of `port_range`."""
-
-    address: Address
-    seeds: tuple[Address, ...]
-    data_dir: str
-    disk_mb: int
-    bootstrap: bool
-    tolerated_machines: int  # machine losses at once that lose nothing
-    node: str = ""
-
-
 class ReplicaHost:
     """The replicas of one process. Callbacks run in its greenlet and must not wait."""
 
     def __init__(self, settings: HostSettings, machines: Mapping[int, StateMachine]) -> None:
         self.settings = settings
         self.call_server = rpc.CallServer(settings.address)
-        self.on_applied: Callable[[int, int, bytes, Any], None] = lambda shard, index, command, result: None
-        self.on_restored: Callable[[int], None] = lambda shard: None
         self.on_leadership: Callable[[int, bool], None] = lambda shard, leads: None
-        self._machines = dict(machines)
+        self._applier = Applier(machines)
         self._table: GroupTable | None = None
         self._disk: DiskWriter | None = None
         self._links = PeerLinks()
-        self._waiting: dict[tuple[int, int], tuple[int, AsyncResult]] = {}
         self._leading: set[int] = set()
         self._wake = Event()
         self._greenlets: list[gevent.Greenlet] = []
@@ -90,6 +54,24 @@
 
     # For the control plane
 
+    @property
+    def on_applied(self) -> Callable[[int, int, bytes, Any], None]:
+        """`on_applied(shard, index, command, result)` runs at every replica after a command was applied."""
+        return self._applier.on_applied
+
+    @on_applied.setter
+    def on_applied(self, callback: Callable[[int, int, bytes, Any], None]) -> None:
+        self._applier.on_applied = callback
+
+    @property
+    def on_restored(self) -> Callable[[int], None]:
+        """`on_restored(shard)` runs when a snapshot has replaced a machine's state."""
+        return self._applier.on_restored
+
+    @on_restored.setter
+    def on_restored(self, callback: Callable[[int], None]) -> None:
+        self._applier.on_restored = callback
+
     def start(self) -> None:
         """Begins in the background: the disk is read first, and may take its time."""
         self.call_server.on_push(RaftBatch, self._received)
@@ -117,16 +99,12 @@
         placed = self._table and self._table.replicas[shard].propose(time.monotonic(), command)
         if not placed:
             raise NotLeader(self.leader(shard))
-        index, term = placed
-        result = AsyncResult()
-        self._waiting[shard, index] = (term, result)
-        self._wake.set()
-        try:
-            return result.get(timeout=timeout)
-        except gevent.Timeout as error:
-            raise NoVerdict("not committed in time") from error
-        finally:
-            self._waiting.pop((shard, index), None)
+        with self._applier.waiting(shard, *placed) as result:
+            self._wake.set()
+            try:
+                return result.get(timeout=timeout)
+            except gevent.Timeout as error:
+                raise NoVerdict("not committed in time") from error
 
     def read_barrier(self, shard: int, timeout: float) -> None:
         """Returns when the state here holds all that was acknowledged before. Raises NotLeader or NoVerdict."""
@@ -181,21 +159,30 @@
         settings = self.settings
         formation = FormationSettings(settings.address, settings.seeds, settings.bootstrap, settings.tolerated_machines)
         for shard, state in durable.items():
-            if state.log.snapshot.index and shard in self._machines:
-                self._machines[shard].restore(state.log.snapshot.data)
-                self.on_restored(shard)
+            if state.log.snapshot.index and shard in self._applier.machines:
+                self._applier.restore(shard, state.log.snapshot.index, state.log.snapshot.data)
         self._table = GroupTable(
-            formation, tuple(self._machines), identity, durable, random.SystemRandom(), time.monotonic()
+            formation, tuple(self._applier.machines), identity, durable, random.SystemRandom(), time.monotonic()
         )
         log.info("replica host started node=%s replica=%d empty=%s bootstrap=%s",
                  settings.node, self._table.id, identity is None, settings.bootstrap)
         disk_bytes = settings.disk_mb * MEGABYTE
         self._disk = DiskWriter(store, disk_bytes, self._take_records, self._durable, self._image)
         self._disk.start()
-        self._greenlets += [gevent.spawn(self._tick), gevent.spawn(self._run)]
+        self._greenlets += [gevent.spawn(self._for_ever, self._tick), gevent.spawn(self._for_ever, self._run)]
 
     # Events
 
+    @staticmethod
+    def _for_ever(loop: Callable[[], None]) -> None:
+        """A failure in one step, of a callback for example, must not stop the replicas of this process."""
+        while True:
+            try:
+                loop()
+            except Exception:
+                log.exception("replica host failed and goes on")
+                gevent.sleep(TICK_S)
+
     def _received(self, _connection: Connection, batch: RaftBatch) -> None:
         if self._table is None:
             return
@@ -224,7 +211,9 @@
         while True:
             self._wake.wait()
             self._wake.clear()
-            self._apply()
+            for shard, replica in self._table.replicas.items():
+                self._applier.step(shard, replica)
+                self._note_leadership(shard, replica.is_leader)
             for address, envelope in self._table.take_envelopes():
                 self._links.send(address, pack_envelope(envelope))
             self._disk.wake()
@@ -236,6 +225,12 @@
             log.warning("disk in trouble, handing over" if slow else "disk keeps up again")
             self._table.abstain(now, slow)
 
+    def _note_leadership(self, shard: int, leads: bool) -> None:
+        if leads != (shard in self._leading):
+            (self._leading.add if leads else self._leading.discard)(shard)
+            log.info("leadership shard=%d leads=%s term=%d", shard, leads, self._table.replicas[shard].core.term)
+            call_back(self.on_leadership, shard, leads)
+
     # Disk
 
     def _take_records(self) -> list[bytes]:
@@ -248,50 +243,10 @@
     def _image(self) -> bytes:
         for shard, replica in self._table.replicas.items():
             if replica.core.applied_index > replica.core.log.snapshot.index:
-                replica.compact(self._machines[shard].snapshot())
+                replica.compact(self._applier.machines[shard].snapshot())
         images = [replica.image() for replica in self._table.replicas.values()]
         return pack_image(self._table.formation.identity, images)
 
-    # State machines
-
-    def _apply(self) -> None:
-        for shard, replica in self._table.replicas.items():
-            if restored := replica.take_restored():
-                self._restore(shard, restored.index, restored.data)
-            for index, entry in replica.take_committed():
-                self._apply_entry(shard, index, entry)
-            for result in replica.take_reads():
-                result.set(None)
-            failed, replica.failed_reads = replica.failed_reads, []
-            for result in failed:
-                result.set_exception(NoVerdict("leadership was lost"))
-            self._note_leadership(shard, replica.is_leader)
-
-    def _restore(self, shard: int, last_index: int, data: bytes) -> None:
-        self._machines[shard].restore(data)
-        for key in [key for key in self._waiting if key[0] == shard and key[1] <= last_index]:
-            self._waiting.pop(key)[1].set_exception(NoVerdict("replaced by a snapshot"))
-        self.on_restored(shard)
-
-    def _apply_entry(self, shard: int, index: int, entry: Entry) -> None:
-        result = None
-        if entry.kind == EntryKind.COMMAND:
-            result = self._machines[shard].apply(index, entry.data)
-            self.on_applied(shard, index, entry.data, result)
-        term, waiting = self._waiting.pop((shard, index), (0, None))
-        if waiting is None:
-            return
-        if term == entry.term:
-            waiting.set(result)
-        else:
-            waiting.set_exception(NoVerdict("leadership was lost before commitment"))
-
-    def _note_leadership(self, shard: int, leads: bool) -> None:
-        if leads != (shard in self._leading):
-            (self._leading.add if leads else self._leading.discard)(shard)
-            log.info("leadership shard=%d leads=%s term=%d", shard, leads, self._table.replicas[shard].core.term)
-            self.on_leadership(shard, leads)
-
     # Planned end
 
     def _leads_anything(self) -> bool:
--- a/ochrespan/coordination/group_table.py
+++ b/ochrespan/coordination/group_table.py
@@ -167,7 +167,8 @@
                 replica.join(now, member)
                 contacts.update(member.address for member in replica.core.configuration.members().values())
         contacts.discard(envelope.address)
-        self._send_process(envelope.address, envelope.sender, JoinReply(False, [list(known) for known in sorted(contacts)]))
+        reply = JoinReply(False, [list(known) for known in sorted(contacts)])
+        self._send_process(envelope.address, envelope.sender, reply)
 
     def _ask(self, now: float) -> None:
         if found := self.formation.proposal(now):
--- a/ochrespan/coordination/replica.py
+++ b/ochrespan/coordination/replica.py
@@ -14,6 +14,7 @@
 from .core import DurableChange, DurableState, ReplicaCore, Role, Timing
 from .election import Election
 from .following import Following
+from .hand_over import HandOver
 from .log import Snapshot
 from .messages import (
     Append,
@@ -50,9 +51,7 @@
         self._following = Following(self.core)
         self._reads: list[tuple[float, int, Any]] = []  # stamp, index that has to be applied, token
         self.failed_reads: list[Any] = []
-        self._hand_over_until = float("-inf")
-        self._hand_over_to = 0
-        self._campaign_sent = False
+        self._hand_over = HandOver(self.core, self.replication)
         self.core.reset_campaign_deadline()
 
     # What the caller asks
@@ -73,7 +72,7 @@
 
     @property
     def handing_over(self) -> bool:
-        return self.core.now < self._hand_over_until
+        return self._hand_over.under_way
 
     def quorum_age(self, now: float) -> float:
         return now - self.core.quorum_known_at
@@ -129,22 +128,17 @@
 
     def hand_over(self, now: float, target: int = 0) -> None:
         """Begins to hand leadership to `target`, or to the voter that has most of the log."""
-        core = self.core
-        core.now = now
-        if core.role is Role.LEADER and not self.handing_over:
-            willing = [voter for voter, progress in self.replication.voters_by_match() if progress.willing]
-            self._hand_over_to = target if target in willing else next(iter(willing), 0)
-            self._hand_over_until = now + core.timing.hand_over_s if self._hand_over_to else float("-inf")
-            self._campaign_sent = False
-            self._drive_hand_over()
+        self.core.now = now
+        if self.core.role is Role.LEADER:
+            self._hand_over.begin(target)
 
     def abstain(self, now: float, abstaining: bool) -> None:
         """The disk doesn't keep up, or does again: while it doesn't, this replica neither leads nor wants to."""
         self.core.abstaining = abstaining
         if abstaining:
             self.hand_over(now)
-        elif not self.handing_over:
-            self._hand_over_to = 0
+        else:
+            self._hand_over.forget()
 
     def compact(self, data: bytes) -> None:
         """The state machine's state as applied now takes the place of the entries before it."""
@@ -216,22 +210,16 @@
             return
         removed = not core.is_voter and core.commit_index >= core.log.configuration_index
         if (removed or core.abstaining) and not self.handing_over:
-            if self._hand_over_to:
+            if self._hand_over.tried:
                 core.become_follower(core.term, leader_id=0)
                 return
-            self.hand_over(core.now)
+            self._hand_over.begin()
         if self.handing_over:
-            self._drive_hand_over()
+            self._hand_over.drive()
         else:
             self.reconfiguration.tick()
         self.replication.tick()
 
-    def _drive_hand_over(self) -> None:
-        target = self.replication.progress.get(self._hand_over_to)
-        if target and target.match >= self.core.log.last_index and not self._campaign_sent:
-            self._campaign_sent = True
-            self.core.send(self._hand_over_to, CampaignNow(self.core.term))
-
     def _flush(self) -> None:
         replication = self.replication
         if self._reads and self._reads[-1][0] > replication.last_broadcast:
@@ -273,8 +261,7 @@
         match message:
             case AppendReply():
                 self.replication.accepted(sender, message)
-                if self.handing_over:
-                    self._drive_hand_over()
+                self._hand_over.drive()
             case SnapshotReply():
                 self.replication.chunk_arrived(sender, message)
             case HeartbeatReply():
@@ -283,13 +270,13 @@
     def _elected(self) -> None:
         core = self.core
         core.role, core.leader_id, core.leader_since = Role.LEADER, core.id, core.now
-        self._hand_over_until, self._hand_over_to = float("-inf"), 0
+        self._hand_over.reset()
         self.replication.start()
 
     def _stepped_down(self) -> None:
         self.failed_reads += [token for _, _, token in self._reads]
         self._reads = []
-        self._hand_over_until = float("-inf")
+        self._hand_over.reset()
 
     def _deliver_own(self) -> None:
         """A candidate's vote for itself counts when it has become durable."""
--- a/ochrespan/coordination/swim.py
+++ b/ochrespan/coordination/swim.py
@@ -13,6 +13,7 @@
 
 from .members import FleetMember, MemberState, MemberTable, News
 from .messages import Address
+from .swim_messages import Ack, Nack, Ping, PingRequest, SwimMessage, Sync
 
 PERIOD_S = 0.5
 PROBE_TIMEOUT_S = 0.2
@@ -29,44 +30,6 @@
 LATE_S = 0.3  # a tick this late means that this process was held up: it judges nobody by the time that it missed
 
 
-@dataclass(slots=True)
-class Ping:
-    number: int
-    news: list[News]
-
-
-@dataclass(slots=True)
-class Ack:
-    number: int
-    news: list[News]
-
-
-@dataclass(slots=True)
-class Nack:
-    """The helper has no answer from the member that it was asked to probe; the helper itself is well."""
-
-    number: int
-
-
-@dataclass(slots=True)
-class PingRequest:
-    number: int
-    host: str
-    port: int
-    news: list[News]
-
-
-@dataclass(slots=True)
-class Sync:
-    """All that the sender knows, in several messages; `answer` asks for the same in return."""
-
-    answer: bool
-    news: list[News]
-
-
-SwimMessage = Ping | Ack | Nack | PingRequest | Sync
-
-
 @dataclass(slots=True)
 class _Probe:
     target: Address
--- /dev/null
+++ b/ochrespan/coordination/swim_messages.py
@@ -0,0 +1,45 @@
+"""Messages of SWIM membership; `news` travels along with probes and their answers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .members import News
+
+
+@dataclass(slots=True)
+class Ping:
+    number: int
+    news: list[News]
+
+
+@dataclass(slots=True)
+class Ack:
+    number: int
+    news: list[News]
+
+
+@dataclass(slots=True)
+class Nack:
+    """The helper has no answer from the member that it was asked to probe; the helper itself is well."""
+
+    number: int
+
+
+@dataclass(slots=True)
+class PingRequest:
+    number: int
+    host: str
+    port: int
+    news: list[News]
+
+
+@dataclass(slots=True)
+class Sync:
+    """All that the sender knows, in several messages; `answer` asks for the same in return."""
+
+    answer: bool
+    news: list[News]
+
+
+SwimMessage = Ping | Ack | Nack | PingRequest | Sync
--- a/ochrespan/storage/store.py
+++ b/ochrespan/storage/store.py
@@ -86,11 +86,15 @@
         del self._pending[: len(data)]
 
     def begin_checkpoint(self) -> None:
-        """Records from here on belong to the next generation. What was added before has to be flushed."""
+        """Records from here on belong to the next generation. What was added before has to be flushed.
+
+        A checkpoint that failed half-way is begun again without a new log.
+        """
+        if self.checkpoint_under_way:
+            return
         if self._pending:
             raise RuntimeError("records are waiting to be flushed")
-        if not self.checkpoint_under_way:
-            self._begin_log(self._slot_generation + 1)
+        self._begin_log(self._slot_generation + 1)
 
     def write_checkpoint(self, image: bytes) -> None:
         """Makes `image` durable: the state at the start of the new log, or any later one that its records lead to."""
--- a/tests/core_sim/disk.py
+++ b/tests/core_sim/disk.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import errno
+import itertools
 import random
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 
@@ -35,8 +37,8 @@
         return content
 
 
-class CallFails(Exception):
-    """Planned by the test: the process ends at this call."""
+class ProcessEnds(Exception):
+    """Planned by the test: the process ends before this call."""
 
 
 class SimDirectory:
@@ -48,6 +50,7 @@
         self.syncs_fail = False
         self.calls = 0
         self.fail_call: int | None = None  # the number of the call that fails once, with an error of the disk
+        self.end_call: int | None = None  # the number of the call before which the process ends
 
     def read(self, name: str) -> bytes | None:
         self._called(writes=False)
@@ -90,8 +93,23 @@
             file.unsynced = kept
             file.durable, file.unsynced = file.visible(), []
 
+    def after_power_loss(self) -> Iterator[SimDirectory]:
+        """Every disk that a loss of power may leave: each unsynced write kept, missing or torn in the middle."""
+        writes = [(name, write) for name, file in self.files.items() for write in file.unsynced]
+        for fates in itertools.product(("kept", "missing", "torn"), repeat=len(writes)):
+            left = SimDirectory()
+            left.files = {name: File(bytearray(file.durable)) for name, file in self.files.items()}
+            for (name, write), fate in zip(writes, fates, strict=True):
+                if fate == "torn" and write.data:
+                    Write(write.offset, write.data[: len(write.data) // 2]).apply(left.files[name].durable)
+                elif fate == "kept":
+                    write.apply(left.files[name].durable)
+            yield left
+
     def _called(self, writes: bool) -> None:
         self.calls += 1
+        if self.calls == self.end_call:
+            raise ProcessEnds
         if self.calls == self.fail_call:
             raise OSError(errno.EIO, "planned")
         if writes and self.full:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,7 +3,7 @@
 import pytest
 
 from ochrespan.control_plane.membership import MembershipDriver, MembershipSettings, SwimDatagram, pack, unpack
-from ochrespan.coordination import swim
+from ochrespan.coordination import swim_messages as swim
 from ochrespan.coordination.members import News
 from ochrespan.transport import codec
 
--- a/tests/test_replica_host.py
+++ b/tests/test_replica_host.py
@@ -18,7 +18,7 @@
 
 
 def commands(host, shard: int) -> list[bytes]:
-    machine: Journal = host._machines[shard]
+    machine: Journal = host._applier.machines[shard]
     return machine.commands
 
 
@@ -70,3 +70,16 @@
     kill(hosts.pop(2))
     propose(hosts.values(), 0, b"two")
     until(lambda: commands(hosts[4], 0) == [b"one", b"two"], "both commands at the replacement")
+
+
+def test_a_command_or_a_callback_that_raises_stops_nothing(core):
+    _, _, hosts = core
+    leader = leader_of(hosts.values(), 0)
+    for host in hosts.values():
+        machine, apply = host._applier.machines[0], host._applier.machines[0].apply
+        machine.apply = lambda index, command, apply=apply: 1 // 0 if command == b"bad" else apply(index, command)
+        host.on_applied = lambda shard, index, command, result: 1 // 0 if command == b"worse" else None
+    assert leader.propose(0, b"bad", 5.0) is None
+    propose(hosts.values(), 0, b"worse")
+    propose(hosts.values(), 0, b"good")
+    until(lambda: all(commands(host, 0)[-1:] == [b"good"] for host in hosts.values()), "last command everywhere")
--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,209 @@
+"""The store under every failing call, every end of the process and every loss of power of a run."""
+
+import errno
+import itertools
+
+import ormsgpack
+import pytest
+
+from ochrespan.storage import records
+from ochrespan.storage.files import PosixDirectory
+from ochrespan.storage.store import LOG_NAMES, SLOT_NAMES, Store
+
+from .core_sim.disk import ProcessEnds, SimDirectory
+
+ROUNDS = 4  # checkpoints of the run; records before, between and after their parts
+MOST_LEFT_DISKS = 3**6
+
+
+class Journal:
+    """Numbers 0, 1, 2... written through a store, as the replicas write theirs."""
+
+    def __init__(self, directory) -> None:
+        self.store = Store(directory)
+        self.values: list[int] = []
+        self.durable = 0
+
+    def open(self) -> None:
+        recovered = self.store.open()
+        image = ormsgpack.unpackb(recovered.image) if recovered.image is not None else []
+        self.values = replay(image, [ormsgpack.unpackb(record) for record in recovered.records])
+        self.durable = len(self.values)
+
+    def add(self, count: int) -> None:
+        new = range(len(self.values), len(self.values) + count)
+        self.store.append([ormsgpack.packb(value) for value in new])
+        self.values += new
+
+    def flush(self) -> None:
+        self.store.flush()
+        self.durable = len(self.values)
+
+    def checkpoint(self) -> None:
+        self.store.begin_checkpoint()
+        image = ormsgpack.packb(self.values)
+        self.store.write_checkpoint(image)
+
+
+def replay(image: list[int], later: list[int]) -> list[int]:
+    """Records that the image holds already are passed over, as a log's entries behind its snapshot are."""
+    values = list(image)
+    for value in later:
+        assert value <= len(values), "a gap"
+        if value == len(values):
+            values.append(value)
+    return values
+
+
+def run(journal: Journal, retry: bool) -> None:
+    """The run whose calls are counted; with `retry`, what fails is called again."""
+
+    def step(operation) -> None:
+        for _ in range(3 if retry else 1):
+            try:
+                operation()
+                return
+            except OSError:
+                if not retry:
+                    raise
+        raise AssertionError("a second call failed")
+
+    step(journal.open)
+    for _ in range(ROUNDS):
+        for count in (2, 1, 3):
+            journal.add(count)
+            step(journal.flush)
+        step(journal.checkpoint)
+        journal.add(1)
+        step(journal.flush)
+
+
+def calls_of_run() -> int:
+    directory = SimDirectory()
+    run(Journal(directory), retry=False)
+    return directory.calls
+
+
+def assert_whole(directory, journal: Journal) -> None:
+    """What is found is what was written, in order, and no less than was known to be durable; and it goes on."""
+    again = Journal(directory)
+    again.open()
+    assert again.values == journal.values[: len(again.values)]
+    assert len(again.values) >= journal.durable
+    again.add(2)
+    again.flush()
+    third = Journal(directory)
+    third.open()
+    assert third.values == again.values
+
+
+CALLS = calls_of_run()
+
+
+@pytest.mark.parametrize("number", range(1, CALLS + 1))
+def test_a_call_that_fails_once_loses_nothing(number):
+    directory = SimDirectory()
+    directory.fail_call = number
+    journal = Journal(directory)
+    run(journal, retry=True)
+    assert journal.durable == 7 * ROUNDS
+    assert_whole(directory, journal)
+
+
+@pytest.mark.parametrize("number", range(2, CALLS + 1))
+def test_the_process_ends_before_a_call(number):
+    directory = SimDirectory()
+    directory.end_call = number
+    journal = Journal(directory)
+    with pytest.raises(ProcessEnds):
+        run(journal, retry=False)
+    assert_whole(directory, journal)
+
+
+@pytest.mark.parametrize("number", range(2, CALLS + 1))
+def test_power_is_lost_before_a_call_whatever_becomes_of_each_unsynced_write(number):
+    directory = SimDirectory()
+    directory.end_call = number
+    journal = Journal(directory)
+    with pytest.raises(ProcessEnds):
+        run(journal, retry=False)
+    for left in itertools.islice(directory.after_power_loss(), MOST_LEFT_DISKS):
+        assert_whole(left, journal)
+
+
+def test_what_a_kill_left_in_the_file_is_durable_once_it_was_read():
+    """A record that was never synced and yet was found must not vanish at a later loss of power."""
+    directory = SimDirectory()
+    journal = Journal(directory)
+    journal.open()
+    journal.add(1)
+    directory.syncs_fail = True
+    with pytest.raises(OSError):
+        journal.flush()
+    directory.syncs_fail = False
+    again = Journal(directory)
+    again.open()
+    assert again.values == [0]
+    for left in directory.after_power_loss():
+        third = Journal(left)
+        third.open()
+        assert third.values == [0]
+
+
+def test_a_full_disk_refuses_and_then_takes_all_that_was_waiting():
+    directory = SimDirectory()
+    journal = Journal(directory)
+    journal.open()
+    directory.full = True
+    for _ in range(3):
+        journal.add(1)
+        with pytest.raises(OSError) as caught:
+            journal.flush()
+        assert caught.value.errno == errno.ENOSPC
+    directory.full = False
+    journal.flush()
+    assert_whole(directory, journal)
+
+
+def test_records_of_an_earlier_use_of_the_file_are_never_taken_for_new_ones():
+    old, checksum = records.log_header(3)
+    for payload in (b"a", b"b", b"c"):
+        data, checksum = records.encode_record(payload, checksum)
+        old += data
+    new, checksum = records.log_header(5)
+    data, _ = records.encode_record(b"x", checksum)
+    content = records.decode_log(new + data + old[len(new + data) :])
+    assert (content.generation, content.records) == (5, [b"x"])
+
+
+@pytest.mark.parametrize("name", [*SLOT_NAMES, *LOG_NAMES])
+def test_a_file_of_another_format_version_is_told_by_what_was_found_and_allowed(name, monkeypatch):
+    directory = SimDirectory()
+    run(Journal(directory), retry=False)
+    data = bytearray(directory.files[name].visible())
+    monkeypatch.setattr(records, "FORMAT_VERSION", 2)
+    with pytest.raises(records.FormatError, match="version 1, allowed .* version 2"):
+        (records.decode_slot if name in SLOT_NAMES else records.decode_log)(bytes(data))
+
+
+def test_the_size_on_the_disk_stays_within_two_images_and_two_logs():
+    directory = SimDirectory()
+    journal = Journal(directory)
+    journal.open()
+    largest = 0
+    for _ in range(200):
+        journal.add(20)
+        journal.flush()
+        if journal.store.log_bytes > 1000:
+            journal.checkpoint()
+        largest = max(largest, sum(len(file.visible()) for file in directory.files.values()))
+    image = len(ormsgpack.packb(journal.values))
+    assert largest < 2 * (image + 100) + 2 * (1000 + 600)
+
+
+def test_a_real_folder_keeps_what_was_written(tmp_path):
+    directory = PosixDirectory(str(tmp_path))
+    journal = Journal(directory)
+    run(journal, retry=False)
+    directory.close()
+    assert_whole(PosixDirectory(str(tmp_path)), journal)
