Scheduler: prompts stay where their shared parts are, short prompts are read first

A model of engines (pieces of prompts between tokens, memory by last use) before many routers shows why: prompts that leave a full window for another server have their shared parts read again, which at twice the load fills every engine, and short prompts wait behind long ones of a higher rank. Placement now waits for a prompt's server unless the wait that it saves is worth the reading, estimates learn the pace of reading, and Priority goes by reading cost plus a step for rank.

--- a/ochrespan/data_plane/placement.py
+++ b/ochrespan/data_plane/placement.py
@@ -1,21 +1,28 @@
-"""Which server a request goes to: the one that keeps its prompt's shared parts, or the least loaded.
+"""Which server a request goes to: the one with the least expected time to the first piece.
 
-All routers rank a service's servers alike by a hash of the shared parts, so that none has to be told what a server
-keeps. A server over its load bound passes what it would get on to the next of the ranking.
+All routers rank a service's servers alike by a hash of a prompt's shared parts, and take the first of the ranking for
+the one that keeps them; none has to be told. Another server has to read these parts first, which holds up its other
+requests too: so a request leaves its place in the ranking where the wait there is longer than that is worth. This
+bounds a server's load by what the others have.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
 from hashlib import blake2b
 
+from .reading_times import ReadingTimes, token_cost
 from .server_state import ServerState
 
-LOAD_BOUND = 1.25  # multiple of the mean load up to which a server keeps its place in the ranking
-LOAD_SLACK = 2.0  # in loads of a mean request: a few requests are no overload
-RANKED = 8  # servers of a ranking that are kept
+MOVE_COST = 20.0  # multiple of the time for reading shared parts at another server: its neighbours wait as well
+WORTH_MOVING = 0.25  # part of the aim that leaving a wait behind is worth at the most, however long it seems
+SLOT_COST = 0.0005  # s, what each request that is out slows a new one down
+OTHER_ZONE = 0.003  # s: what bytes between zones are worth
+NEW_CONNECTION = 0.1  # part of the aim: what opening a connection is worth
+HOMES = 2  # servers of a ranking among which a prefix is placed
+RANKED = 4  # servers of a ranking that are kept
 MOST_RANKINGS = 4096  # prefixes whose ranking is kept
-OTHER_ZONE = 0.005  # s: what bytes between zones are worth
 
 
 def shared_prefix(prefix: Sequence[tuple[str, int]]) -> str:
@@ -24,10 +31,6 @@
     return ",".join(part for part, _ in parts)
 
 
-def _score(key: bytes, server_id: str) -> bytes:
-    return blake2b(server_id.encode(), key=key, digest_size=8).digest()
-
-
 class Rankings:
     """The servers of one service by rendezvous hash, for each shared prefix."""
 
@@ -48,24 +51,76 @@
         return ranked
 
 
-def ranked_server(
-    ranked: Sequence[ServerState], bound: float, usable: Callable[[ServerState], bool]
-) -> ServerState | None:
-    """The first of the ranking that is usable and within the bound."""
-    for server in ranked:
-        if server.load <= bound and usable(server):
-            return server
-    return None
-
-
-def least_loaded(
-    servers: Iterable[ServerState], now: float, zone: str, work: float, usable: Callable[[ServerState], bool]
-) -> ServerState | None:
-    """The usable server with the least expected time to the first piece, with a slight preference for the zone."""
-    best, found = float("inf"), None
-    for server in servers:
-        if usable(server):
-            wait = server.expected_wait(now, work) + (0.0 if server.server.zone == zone else OTHER_ZONE)
-            if wait < best:
-                best, found = wait, server
-    return found
+def _score(key: bytes, server_id: str) -> bytes:
+    return blake2b(server_id.encode(), key=key, digest_size=8).digest()
+
+
+@dataclass(slots=True)
+class Prompt:
+    """What placement has to know of a request."""
+
+    key: str  # of its shared parts; empty where it has none
+    shared: int  # tokens of these
+    own: int  # further tokens
+    aim: float
+    route: str
+
+    def cost(self, kept: bool) -> float:
+        """Of reading it, as `token_cost` has it."""
+        return token_cost(self.shared, self.own) if kept else token_cost(0, self.shared + self.own)
+
+
+class Placement:
+    """Chooses among the servers of one service."""
+
+    def __init__(self, zone: str) -> None:
+        self._zone = zone
+        self._rankings = Rankings()
+        self._servers: list[ServerState] = []
+        self.times = ReadingTimes()
+
+    def set_servers(self, servers: list[ServerState]) -> None:
+        if [server.server.id for server in servers] != [server.server.id for server in self._servers]:
+            self._rankings.clear()
+        self._servers = servers
+
+    def is_kept(self, now: float, server: ServerState, prompt: Prompt) -> bool:
+        """Whether the server is taken to have the shared parts of the prompt in memory."""
+        if not prompt.shared:
+            return True
+        return server.keeps(prompt.key, now) or self._rankings.of(prompt.key, self._servers)[0] is server
+
+    def best(
+        self, now: float, prompt: Prompt, tried: Sequence[str], usable: Callable[[ServerState], bool]
+    ) -> ServerState | None:
+        """The server with the least expected time of those not tried yet, if it is usable now.
+
+        A prompt with shared parts waits for its server rather than go where these would be read once more; one
+        without goes to any that is usable.
+        """
+        if not prompt.shared:
+            return self._least(now, prompt, [s for s in self._servers if usable(s) and s.server.id not in tried])
+        ranked = self._rankings.of(prompt.key, self._servers)
+        homes = [server for server in ranked if server.is_healthy(now) and server.server.id not in tried][:HOMES]
+        found = self._least(now, prompt, homes)
+        return found if found is not None and usable(found) else None
+
+    def _least(self, now: float, prompt: Prompt, servers: Iterable[ServerState]) -> ServerState | None:
+        kept_cost, move_cost = self._costs(prompt)
+        least, found = float("inf"), None
+        for place, server in enumerate(servers):
+            kept = not (prompt.shared and place) or server.keeps(prompt.key, now)
+            time = (kept_cost if kept else move_cost) * server.slowness(now)
+            time += min(server.queue_wait(now), WORTH_MOVING * prompt.aim) if prompt.shared else server.queue_wait(now)
+            time += SLOT_COST * len(server.out) + self._extras(now, server, prompt)
+            if time < least:
+                least, found = time, server
+        return found
+
+    def _costs(self, prompt: Prompt) -> tuple[float, float]:
+        kept, moved = prompt.cost(True), prompt.cost(False)
+        return self.times.pace * kept, self.times.pace * (kept + MOVE_COST * (moved - kept))
+
+    def _extras(self, now: float, server: ServerState, prompt: Prompt) -> float:
+        zone = 0.0 if server.server.zone == self._zone else OTHER_ZONE
+        return zone + (0.0 if server.has_connection(now) else NEW_CONNECTION * prompt.aim)
--- a/ochrespan/data_plane/scheduler.py
+++ b/ochrespan/data_plane/scheduler.py
@@ -9,36 +9,34 @@
 
 import heapq
 import random
-from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from itertools import count
+from itertools import count, islice
 from math import ceil, inf
 
 from ..policy.arr import KAPPA, ROUND, end_round, rank
 from ..policy.gating import is_gated, lift_lagging, upper_threshold
 from ..state import Share
 from .decisions import NEVER_RAN, Action, Fail, Outcome, Refuse, Request, Send, Server
-from .placement import LOAD_BOUND, LOAD_SLACK, Rankings, least_loaded, ranked_server, shared_prefix
+from .placement import Placement, Prompt, shared_prefix
 from .retry_budget import RetryBudget
 from .server_state import WINDOW_START, Attempt, ServerState
+from .urgency import Ranks, server_priority
 
 __all__ = ["Action", "Fail", "Outcome", "Refuse", "Request", "Scheduler", "Send", "Server"]
 
 TOKENS_PER_UNIT = 2000.0  # of prompt and 10 x answer: what a flow is charged as one unit
 ANSWER_COST = 10.0  # prompt tokens that an answer's token costs
-TOKENS_PER_WORK = 1000.0  # prompt tokens that take as long as a request without tokens
-RUNNING_LOAD = 0.5  # units of work that a stream adds to a server's load once its first piece has come
-URGENCY = 2.0  # multiple of a flow's weight, and of its first gain, for each rank of priority
-MOST_RANKS = 4  # ranks of priority that are told apart
+URGENCY = 2.0  # multiple of a flow's weight, and of its first gain, for each step of urgency
 REFUSE_AT = 0.2  # part of the aim after which what is unsent is refused, or sent for all that
 MOST_CONNECT_FAILURES = 3  # servers that could not be reached, for one request
 LATE_IN_TIME = 0.5  # part of the aim within which a queue has to end for a request that has waited
+SCANNED = 4  # requests of a flow that are looked at: one whose server is full does not hold up the others
 CERTAIN = 4.0  # answers in a round whose mean counts half: a mean over few is noise
 IDLE_FLOW = 30.0  # s, after which an idle flow leaves the table
 ANSWER_MARGIN = 0.02  # s before a deadline when the final answer has to leave
-UNKNOWN_PACE = 0.3  # part of the aim that the first piece is taken to need before anything is known
+UNKNOWN_BASE = 0.2  # part of the aim that a first piece is taken to need beside reading before any has come
 
 
 @dataclass(slots=True, eq=False)
@@ -56,8 +54,7 @@
     request: Request
     flow: Flow
     units: float
-    key: str  # of its shared prefix
-    shared: int  # tokens of that
+    prompt: Prompt
     promoted: bool = False
     held: bool = True  # waits for a send
     done: bool = False
@@ -77,13 +74,12 @@
     """One service: its servers, its flow queues, its part of the scheduler queue, its retry budget."""
 
     budget: RetryBudget
+    placement: Placement
     servers: dict[str, ServerState] = field(default_factory=dict)
     usable: list[ServerState] = field(default_factory=list)
-    rankings: Rankings = field(default_factory=Rankings)
     waiting: Queues = field(default_factory=dict)
     ready: Queues = field(default_factory=dict)
     eta_top: float = 0.0
-    best: dict[str, float] = field(default_factory=dict)  # s for a unit of work, by route
 
 
 class Scheduler:
@@ -98,7 +94,7 @@
         self._pools: dict[str, Pool] = {}
         self._jobs: dict[str, Job] = {}
         self._flows: dict[tuple[str, str], Flow] = {}
-        self._ranks: list[int] = []  # the priorities that were seen, in order
+        self._ranks = Ranks()
         self._checks: list[tuple[float, int, Job]] = []  # when to look at a request that waits
         self._count = count()
         self._round_at = -inf
@@ -124,7 +120,9 @@
         flow = self._flow(now, request)
         units = max(1.0, (request.tokens_in + ANSWER_COST * request.tokens_out) / TOKENS_PER_UNIT)
         shared = sum(tokens for _, tokens in request.prefix[:-1])
-        job = Job(request, flow, units, shared_prefix(request.prefix), shared)
+        own = max(0, request.tokens_in - shared)
+        prompt = Prompt(shared_prefix(request.prefix), shared, own, request.aim, request.route)
+        job = Job(request, flow, units, prompt)
         self._jobs[request.id] = job
         pool = self._pool(now, request.service)
         self._queue(pool, job)
@@ -139,7 +137,7 @@
             return []
         pool = self._pool(now, job.request.service)
         if job.server is not None:
-            job.server.ended(request_id)
+            job.server.ended(now, request_id)
         self._close(job)
         self._pump(now, pool)
         return self._take_actions()
@@ -154,9 +152,7 @@
             return
         job.started = True
         job.server.answered(now, request_id, latency_s, job.request.aim)
-        pace = latency_s / attempt.work
-        best = pool.best.get(attempt.route, pace)
-        pool.best[attempt.route] = best + (0.25 if pace < best else 0.02) * (pace - best)
+        pool.placement.times.observe(attempt.route, attempt.cost, latency_s - attempt.wait)
         job.flow.over += now - job.request.arrived - job.request.aim
         job.flow.answers += 1
 
@@ -170,7 +166,7 @@
         if job is None or job.server is None:
             return []
         server, job.server = job.server, None
-        attempt = server.ended(request_id)
+        attempt = server.ended(now, request_id)
         if attempt is not None:
             self._judge(now, server, outcome, attempt)
         if outcome not in NEVER_RAN:
@@ -216,7 +212,7 @@
     def _pool(self, now: float, service: str) -> Pool:
         pool = self._pools.get(service)
         if pool is None:
-            pool = self._pools[service] = Pool(RetryBudget(*self._retry, now))
+            pool = self._pools[service] = Pool(RetryBudget(*self._retry, now), Placement(self._zone))
         return pool
 
     def _set_pool(self, now: float, pool: Pool, listed: list[Server]) -> None:
@@ -228,25 +224,19 @@
             state.server = server
             state.set_share(self._routers)
             servers[server.id] = state
-        usable = [state for state in servers.values() if not state.server.draining]
-        if [state.server.id for state in usable] != [state.server.id for state in pool.usable]:
-            pool.rankings.clear()
-        pool.servers, pool.usable = servers, usable
+        pool.servers = servers
+        pool.usable = [state for state in servers.values() if not state.server.draining]
+        pool.placement.set_servers(pool.usable)
 
     def _flow(self, now: float, request: Request) -> Flow:
         flow = self._flows.get((request.tenant, request.route))
         if flow is None:
-            at = bisect_left(self._ranks, request.priority)
-            if at == len(self._ranks) or self._ranks[at] != request.priority:
-                insort(self._ranks, request.priority)
-            urgency = URGENCY ** -min(self._rank(request), MOST_RANKS)
+            self._ranks.note(request.priority)
+            urgency = URGENCY ** -self._ranks.step(request.priority)
             flow = self._flows[request.tenant, request.route] = Flow(weight=urgency, gain=KAPPA * urgency)
         flow.used_at = now
         return flow
 
-    def _rank(self, request: Request) -> int:
-        return bisect_left(self._ranks, request.priority)
-
     def _end_round(self, now: float) -> None:
         """ARR: flows whose mean latency missed their aim gain gamma, and every a resets."""
         if now < self._round_at:
@@ -301,44 +291,32 @@
         length = sum(ceil(server.window) for server in pool.usable) or 1
         while True:
             self._promote(pool, length)
-            picked = None
-            for job in sorted(self._heads(pool.ready), key=lambda head: rank(head.flow)):
-                server = self._place(now, pool, job)
-                if server is not None:
-                    picked = job
-                    break
-            if picked is None:
+            found = self._pick(now, pool)
+            if found is None:
                 return
-            pool.ready[picked.flow].popleft()
-            self._send(now, pool, picked, server)
+            job, server = found
+            pool.ready[job.flow].remove(job)
+            self._send(now, pool, job, server)
+
+    def _pick(self, now: float, pool: Pool) -> tuple[Job, ServerState] | None:
+        """ARR: the flow with the smallest (a + 1) / delta of those that have a request whose server has room."""
+        for head in sorted(self._heads(pool.ready), key=lambda head: rank(head.flow)):
+            for job in islice(pool.ready[head.flow], SCANNED):
+                server = self._place(now, pool, job) if job.held else None
+                if server is not None:
+                    return job, server
+        return None
 
     def _place(self, now: float, pool: Pool, job: Job) -> ServerState | None:
-        def usable(server: ServerState) -> bool:
-            return server.has_room(now) and server.server.id not in job.tried
-
-        if job.key:
-            mean = sum(server.load for server in pool.usable) / max(1, len(pool.usable))
-            work = self._mean_work(job)
-            bound = LOAD_BOUND * mean + LOAD_SLACK * work
-            ranked = pool.rankings.of(job.key, pool.usable)
-            found = ranked_server(ranked, bound, usable)
-            if found is not None:
-                return found
-        return least_loaded(pool.usable, now, self._zone, self._mean_work(job), usable)
-
-    def _mean_work(self, job: Job) -> float:
-        return 1.0 + (job.request.tokens_in - job.shared) / TOKENS_PER_WORK
+        return pool.placement.best(now, job.prompt, job.tried, lambda server: server.has_room(now))
 
     def _send(self, now: float, pool: Pool, job: Job, server: ServerState) -> None:
         request, flow = job.request, job.flow
-        ranked = pool.rankings.of(job.key, pool.usable) if job.key else ()
-        kept = job.shared and (server.keeps(job.key, now) or (ranked and ranked[0] is server))
-        work = 1.0 + max(0, request.tokens_in - (job.shared if kept else 0)) / TOKENS_PER_WORK
-        pace = server.best.get(request.route) or pool.best.get(request.route) or UNKNOWN_PACE * request.aim / work
-        running = RUNNING_LOAD if request.streaming else work
-        server.sent(request.id, Attempt(now, request.route, work, work, running, pace * work))
-        if job.key:
-            server.keep(job.key, now)
+        times, wait = pool.placement.times, server.queue_wait(now)
+        cost = job.prompt.cost(pool.placement.is_kept(now, server, job.prompt))
+        expected = times.expected(request.route, cost, UNKNOWN_BASE * request.aim)
+        attempt = Attempt(now, request.route, cost, expected, wait)
+        server.sent(now, request.id, attempt, times.pace * cost, job.prompt.key if job.prompt.shared else "")
         if job.servers:
             pool.budget.spend(now)
         elif not job.attempts:
@@ -347,7 +325,7 @@
         job.attempts, job.servers, job.held, job.server = job.attempts + 1, job.servers + 1, False, server
         job.tried.append(server.server.id)
         within = max(0.001, request.deadline - now)
-        urgency = min(9, self._rank(request))
+        urgency = server_priority(self._ranks.step(request.priority), cost)
         self._actions.append(Send(request.id, server.server.id, job.attempts, urgency, within))
 
     # ends
@@ -379,12 +357,7 @@
 
     def _send_late(self, now: float, pool: Pool, job: Job) -> bool:
         """A request that has waited long is sent beyond the windows where some server shows no queue."""
-        candidates = [
-            server
-            for server in pool.usable
-            if server.may_overflow(now) and server.server.id not in job.tried
-        ]
-        server = least_loaded(candidates, now, self._zone, self._mean_work(job), lambda _: True)
+        server = pool.placement.best(now, job.prompt, job.tried, lambda server: server.may_overflow(now))
         if server is None or now + server.queue_wait(now) > job.request.arrived + LATE_IN_TIME * job.request.aim:
             return False
         if job.attempts and not self._may_retry(now, pool, job, Outcome.REJECTED_FULL):
