Windows start with an even part of the capacity, between 8 and 16 requests

With few routers a start at 8 filled before the first answers and held requests back. A start at the whole part was ruled out: a window has to begin small beside others.

--- a/ochrespan/data_plane/scheduler.py
+++ b/ochrespan/data_plane/scheduler.py
@@ -21,7 +21,7 @@
 from .decisions import NEVER_RAN, Action, Fail, Outcome, Refuse, Request, Send, Server
 from .placement import Placement, Prompt, shared_prefix
 from .retry_budget import RetryBudget
-from .server_state import WINDOW_START, Attempt, ServerState
+from .server_state import Attempt, ServerState
 from .urgency import Ranks, server_priority
 
 __all__ = ["Action", "Fail", "Outcome", "Refuse", "Request", "Scheduler", "Send", "Server"]
@@ -220,7 +220,7 @@
         for server in listed:
             state = pool.servers.get(server.id)
             if state is None:
-                state = ServerState(server, cap=inf, window=WINDOW_START)
+                state = ServerState(server)
             state.server = server
             state.set_share(self._routers)
             servers[server.id] = state
--- a/ochrespan/data_plane/server_state.py
+++ b/ochrespan/data_plane/server_state.py
@@ -9,7 +9,7 @@
 from .decisions import Server
 from .server_health import Health
 
-WINDOW_START = 8.0  # requests, where the router's part of the server is no less
+LEAST_START, MOST_START = 8.0, 16.0  # requests: a window starts with an even part of the capacity between these
 HEADROOM = 4.0  # multiple of an even part of the capacity that one router may use: demand is not even
 SMOOTH = 0.25  # part of a new answer in the smoothed wait
 WAIT_MEMORY = 1.0  # s, after which a wait that was seen is believed by 1/e
@@ -38,8 +38,8 @@
     """One server as this router sees it."""
 
     server: Server
-    cap: float  # requests, the most that this router may have out here
-    window: float = LEAST
+    cap: float = 0.0  # requests, the most that this router may have out here
+    window: float = 0.0
     health: Health = field(default_factory=Health)
     out: dict[str, Attempt] = field(default_factory=dict)
     free_at: float = 0.0  # when it will have read all prompts that this router has sent
@@ -54,6 +54,8 @@
         """The window's cap: this router's part of the capacity, with headroom, and never beyond the capacity."""
         capacity = max(1, self.server.capacity)
         self.cap = max(LEAST, min(capacity, HEADROOM * capacity / max(1, routers)))
+        if not self.window:
+            self.window = min(MOST_START, max(LEAST_START, capacity / max(1, routers)))
         self.window = min(self.window, self.cap)
 
     def is_healthy(self, now: float) -> bool:
