Control address, shared listening socket and bans by hand that outlive an upgrade

A second process could not start beside the first (the port was in use) and operators had no address. Now a listener of its own answers one call a connection; both processes of an upgrade listen with SO_REUSEPORT and a filter that steers new connections to the newer one, which opens only once it has a list, so the older one's backlog is only what it takes before it closes. Suspended chunk servers are kept by one owner, reach the module as drains, and pass to the other process through a file in TMPDIR; descriptors are halved while two processes live. Ruled out: a listening socket handed over a Unix socket, and marking bans in the network code.

--- a/ochrespan/broker.py
+++ b/ochrespan/broker.py
@@ -15,8 +15,9 @@
 from itertools import count
 
 from . import interface as api
+from .figures import ClassTotals
 from .logs import unbound
-from .policy import NEVER_RAN, Scheduler
+from .policy import FAILS, NEVER_RAN, Scheduler
 from .requests import (
     Attempt,
     Counts,
@@ -76,6 +77,29 @@
         """Requests that are still owed an answer."""
         return len(self._held)
 
+    @property
+    def dispatches(self) -> int:
+        """Attempts that were written whole."""
+        return self.counts.dispatches
+
+    @property
+    def concurrent(self) -> int:
+        """Requests taken and not yet ended."""
+        return self.held
+
+    def class_totals(self) -> dict[str, ClassTotals]:
+        """How the requests of each class ended, over all plans."""
+        totals = {name: ClassTotals() for name in self._settings.classes}
+        for (_, name), usage in self.counts.usage.items():
+            totals[name].success += usage.served
+            totals[name].overload += usage.refused
+            totals[name].error += usage.failed
+        return totals
+
+    def backing_off(self) -> set[str]:
+        """The chunk servers that the decisions avoid for now."""
+        return {name for name, node in self._scheduler.nodes.items() if node.fails >= FAILS}
+
     def _now(self) -> float:
         return self._loop.time() + self._offset
 
--- a/ochrespan/config.py
+++ b/ochrespan/config.py
@@ -10,6 +10,9 @@
 
 from . import interface as api
 from .settings import Links, flatten, read_links, read_settings
+from .upgrade import shared_folder
+
+DEFAULT_SOCKETS, DEFAULT_MEMORY_MB = 1024, 192
 
 
 class BadConfig(ValueError):
@@ -35,6 +38,9 @@
     links: Links
     known: Any
     sockets: int
+    memory: int  # bytes
+    control: tuple[str, int] | None = None  # the operators' address
+    shared: Path | None = None  # a folder that the processes of this front share
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -52,11 +58,15 @@
     reader.address("discovery", environ.get("BALANCER_DISCOVERY"))
     name = reader.text("name", environ.get("BALANCER_NAME"), "front")
     seed = reader.seed()
-    sockets = reader.sockets()
+    sockets = reader.limit("sockets", DEFAULT_SOCKETS)
+    memory = reader.limit("memory_mb", DEFAULT_MEMORY_MB) << 20
+    control = reader.optional_address("control", environ.get("BALANCER_CONTROL"))
     settings, links = reader.settings(seed)
     if reader.faults or settings is None or links is None:
         raise BadConfig(*reader.faults)
-    return Config(name, listen, discovery, settings, links, reader.told.get("known"), sockets)
+    shared = shared_folder(environ.get("TMPDIR"), name) if control else None
+    known = reader.told.get("known")
+    return Config(name, listen, discovery, settings, links, known, sockets, memory, control, shared)
 
 
 class _Reader:
@@ -88,6 +98,9 @@
             self.fault(place, value, "host:port")
             return "", 0
 
+    def optional_address(self, place: str, variable: str | None) -> tuple[str, int] | None:
+        return self.address(place, variable) if variable or self.told.get(place) is not None else None
+
     def seed(self) -> int:
         value = self.told.get("seed", "0")
         try:
@@ -96,11 +109,11 @@
             self.fault("seed", value, "hex digits")
             return 0
 
-    def sockets(self) -> int:
+    def limit(self, name: str, default: int) -> int:
         limits = self.told.get("limits", {})
-        value = limits.get("sockets", 1024) if isinstance(limits, dict) else limits
+        value = limits.get(name, default) if isinstance(limits, dict) else limits
         if isinstance(value, bool) or not isinstance(value, int) or value < 1:
-            self.fault("limits.sockets", value, "a whole number above 0")
+            self.fault(f"limits.{name}", value, "a whole number above 0")
             return 0
         return value
 
@@ -128,5 +141,5 @@
     """
     new = load({name: value for name, value in environ.items() if name != "BALANCER_DISCOVERY"})
     new.settings.seed = old.settings.seed  # is for one start
-    fixed = ("name", "listen", "settings", "links", "sockets")
+    fixed = ("name", "listen", "control", "settings", "links", "sockets", "memory")
     return new, [name for name in fixed if getattr(new, name) != getattr(old, name)]
--- a/ochrespan/ending.py
+++ b/ochrespan/ending.py
@@ -13,6 +13,9 @@
 CLOSING = timedelta(seconds=0.75)  # so long before SIGKILL each answer ends its connection ...
 ANSWERED = timedelta(seconds=0.4)  # ... every request has its final answer ...
 GONE = timedelta(seconds=0.3)  # ... and the program ends
+# Clients that an operator sends away come for up to 0.3 s more; 4 s after the call no connection may be idle.
+LEAVES_FROM = timedelta(seconds=0.4)
+SILENT = timedelta(seconds=1)  # from when on a connection without a request is idle too
 ROOM = ACCEPTS + CLOSING  # where all deadlines are so short that there is less, all spans shrink alike
 
 
--- a/ochrespan/front.py
+++ b/ochrespan/front.py
@@ -10,20 +10,30 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from datetime import timedelta
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+import aiohttp
+
 from . import config, logs
 from .broker import Broker
-from .ending import plan
+from .control.front import MOST_BODY as CONTROL_BODY
+from .control.front import MOST_CONNECTIONS as CONTROL_CONNECTIONS
+from .control.front import ControlFront
+from .ending import LEAVES_FROM, SILENT, plan
+from .figures import operating
 from .lifecycle import Lifecycle, Phase
 from .net import discovery
-from .net.chunks import ChunkClient, open_session
+from .net.chunks import ChunkClient, open_session, resize
 from .net.discovery import Directory, Watch
 from .net.http1 import Http1Server
-from .net.listener import RESERVE, Listener, Server
+from .net.listener import Listener, Server
 from .net.platform import MOST_BODY, PlatformFront
 from .running import Core, Running
+from .sockets import Sockets
+from .suspension import ServerSwitch, SuspendedServers, SuspensionFile
+from .upgrade import Roster
 
 if TYPE_CHECKING:  # the operator's file and all that it switches on is loaded only where there is one
     from .operator import Operator
@@ -34,6 +44,8 @@
 LOOK = timedelta(seconds=0.02)
 LAST = timedelta(seconds=0.1)  # for what arrived in the very last moment
 FIRST_LIST = timedelta(seconds=1)  # to hear it before the front is put to use, where it counts as told by then
+FIRST_LIST_IN_UPGRADE = timedelta(seconds=3)  # of the 6 s until it has to serve; meanwhile the old process does
+FOLLOW = timedelta(seconds=0.1)  # between looks at what operators and the other process of an upgrade want
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
 
 
@@ -118,43 +130,84 @@
         log.warning("ends with answers that were not read", extra={"requests": lifecycle.working})
 
 
+async def send_clients_away(lifecycle: Lifecycle, listeners: list[Listener]) -> None:
+    """While operators want the front empty: ends idle connections once clients have stopped coming."""
+    loop = asyncio.get_running_loop()
+    since: float | None = None
+    while True:
+        await asyncio.sleep(FOLLOW.total_seconds())
+        if lifecycle.phase is not Phase.INACTIVE:
+            since = None
+            continue
+        since = since or loop.time()
+        if loop.time() - since >= LEAVES_FROM.total_seconds():
+            for listener in listeners:
+                listener.dismiss_idle(SILENT)
+
+
+async def first_list(watch: Watch, lifecycle: Lifecycle, span: timedelta) -> None:
+    """Waits until discovery has told its list, or the span is over, or the program is to end."""
+    waits = [asyncio.create_task(watch.heard(span)), asyncio.create_task(lifecycle.reached(Phase.DRAINING))]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+
+
 async def serve(told: config.Config, extra: Operator | None, path: Path | None) -> None:
     lifecycle = Lifecycle()
     loop = asyncio.get_running_loop()
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, lifecycle.advance, Phase.DRAINING)
     broker = Broker(told.settings)
-    directory = Directory()
+    suspended = SuspendedServers(SuspensionFile(told.shared) if told.shared else None)
+    directory = Directory(suspended)
+    roster = Roster(told.shared)
+    roster.join()
     async with AsyncExitStack() as stack:
-        outgoing = told.sockets // 3  # clients may hold as many for requests, and bad ones come on top
-        session = await stack.enter_async_context(open_session(told.links, outgoing))
+        stack.callback(roster.leave)
+        sockets = Sockets(told.sockets, controlled=told.control is not None)
+        session = await stack.enter_async_context(open_session(told.links, sockets.outgoing(roster.size())))
         asking = await stack.enter_async_context(discovery.open_session())
         at_once = told.settings.ask_within == 0  # what could be heard counts as told; the known list may be old
         watch = Watch(broker, directory, asking, told.discovery, timedelta() if at_once else discovery.FIRST_WAIT)
         watch.known(told.known)
-        core = Core(told, broker, ChunkClient(session, directory), lifecycle)
+        core = Core(told, broker, ChunkClient(session, directory, broker.counts), lifecycle)
+        core.figures.append(partial(operating, broker, watch))
         core.handlers["platform"] = PlatformFront(core).handle
         running = start(extra, core)
         loop.add_signal_handler(signal.SIGHUP, Reloads(told, watch, path, running))
         signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
+        switch = ServerSwitch(suspended, watch)
+        if told.control is not None:
+            await open_control(told.control, ControlFront(lifecycle, switch, core.figures[0]), stack)
+        tasks = [asyncio.create_task(watch.run())]
+        successor = roster.has_predecessor()
+        if successor:  # it takes all that is new from the moment it listens
+            await first_list(watch, lifecycle, FIRST_LIST_IN_UPGRADE)
         fronts: list[tuple[Server, tuple[str, int]]] = [
             (Http1Server(core.handlers["platform"], MOST_BODY), told.listen)]
         fronts += [front for one in running.values() for front in one.fronts]
         listeners: list[Listener] = []
-        most = (told.sockets - outgoing - RESERVE) // len(fronts)
         for server, address in fronts:
-            listeners.append(Listener(server, most, outgoing // 2))
-            await listeners[-1].open(address)
+            listeners.append(Listener(server, 1))
+            sockets.share(listeners[-1:], len(fronts), roster.size())
+            await listeners[-1].open(address, shared=told.control is not None)
             stack.push_async_callback(listeners[-1].shutdown, GRACE)
-        jobs = [watch.run(), *(job for one in running.values() for job in one.jobs)]
-        tasks = [asyncio.create_task(job) for job in jobs]
+        jobs = [job for one in running.values() for job in one.jobs]
+        jobs.append(send_clients_away(lifecycle, listeners))
+        if told.shared is not None:
+            jobs.append(follow_processes(roster, switch, lifecycle, sockets, session, listeners))
+        tasks += [asyncio.create_task(job) for job in jobs]
+
         async def ready() -> None:
-            if at_once:
+            if at_once and not successor:
                 await watch.heard(FIRST_LIST)
             lifecycle.advance(Phase.READY)  # says nothing where the end has begun meanwhile
+            roster.tell_ready()
 
         tasks.append(asyncio.create_task(ready()))
         await lifecycle.reached(Phase.DRAINING)
+        lifecycle.succeeded = roster.has_ready_successor()
         await drain(told, broker, listeners, lifecycle)
         for task in tasks:
             task.cancel()
@@ -164,6 +217,30 @@
     lifecycle.advance(Phase.STOPPED)
 
 
+async def open_control(address: tuple[str, int], front: ControlFront, stack: AsyncExitStack) -> None:
+    """The operators' address: open from the start to the very end, beside all other listeners."""
+    listener = Listener(Http1Server(front.handle, CONTROL_BODY), CONTROL_CONNECTIONS)
+    await listener.open(address)
+    stack.push_async_callback(listener.shutdown, GRACE)
+
+
+async def follow_processes(
+    roster: Roster, switch: ServerSwitch, lifecycle: Lifecycle, sockets: Sockets,
+    session: aiohttp.ClientSession, listeners: list[Listener],
+) -> None:
+    """Keeps in step with the other process of an upgrade: what operators told it, and its part of the limits."""
+    known = roster.size()
+    while True:
+        await asyncio.sleep(FOLLOW.total_seconds())
+        switch.refresh()
+        lifecycle.succeeded = roster.has_ready_successor()
+        if (processes := roster.size()) != known:
+            log.info("processes of this front", extra={"was": known, "now": processes})
+            known = processes
+            resize(session, sockets.outgoing(processes))
+            sockets.share(listeners, len(listeners), processes)
+
+
 def run(path: Path | None = None, log_format: str = "") -> int:
     """Runs one front until it is told to end; `path`: the operator's file. Returns the exit code."""
     logs.set_up(log_format)
--- a/ochrespan/net/answers.py
+++ b/ochrespan/net/answers.py
@@ -9,6 +9,7 @@
 
 import re
 import select
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -88,6 +89,7 @@
     """aiohttp's handler of a connection, given whole answers only, and nothing that was not asked for."""
 
     _reader: AnswerReader | None = None  # while an answer is awaited
+    on_drained: Callable[[], None] | None = None  # to be told when the kernel has all that was written
 
     def expect(self) -> None:
         """To be called right before the first byte of a request is written."""
@@ -98,6 +100,11 @@
             raise Stale("the connection has been closed or holds what was not asked for")
         self._reader = AnswerReader()
 
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        if self.on_drained is not None:
+            self.on_drained()
+
     def data_received(self, data: bytes) -> None:
         if not data:  # aiohttp resumes what it paused
             super().data_received(data)
--- a/ochrespan/net/chunks.py
+++ b/ochrespan/net/chunks.py
@@ -20,7 +20,7 @@
 
 from ..broker import Broker
 from ..logs import bind
-from ..requests import Attempt, Final, Outcome, Request, Status
+from ..requests import Attempt, Counts, Final, Outcome, Request, Status
 from ..settings import Links
 from .answers import AnswerHandler, Spoilt, Stale
 from .discovery import Directory
@@ -42,9 +42,11 @@
     """How far the request of this exchange got."""
 
     allowed: Callable[[], bool]  # whether the attempt may still begin
+    on_written: Callable[[], None] = lambda: None  # to be told once, as the last byte leaves
     protocol: ResponseHandler | None = None
     transport: asyncio.Transport | None = None
     passed_on: bool = False  # the last byte is the transport's
+    told: bool = False  # that it left
 
     def begin(self) -> None:
         """To be called right before the first byte is written: a connection may have come up late."""
@@ -52,12 +54,20 @@
             raise Withdrawn("too late, or the attempt or its chunk server was taken back, before the first byte")
         assert self.protocol is not None
         self.protocol.expect()  # type: ignore[attr-defined]
+        self.protocol.on_drained = self.tell_written  # type: ignore[attr-defined]
+
+    def tell_written(self) -> None:
+        """To be called whenever the last byte may have left."""
+        if self.written and not self.told:
+            self.told = True
+            self.on_written()
 
     def look(self) -> None:
         """To be called in the turn of the first write, or right after it: a connection that broke in it took nothing.
         What breaks it later is seen after that."""
         assert self.transport is not None
         self.passed_on = not self.transport.is_closing()
+        self.tell_written()
 
     def cut(self) -> None:
         """Nothing more leaves on this connection, of what the transport holds or the kernel."""
@@ -149,6 +159,12 @@
     return session
 
 
+def resize(session: aiohttp.ClientSession, sockets: int) -> None:
+    """Another bound of its connections from now on."""
+    assert session.connector is not None
+    session.connector._limit = sockets  # there is no public way
+
+
 @dataclass(slots=True)
 class Message:
     """What goes to a chunk server, whichever attempt carries it."""
@@ -175,15 +191,17 @@
 
 
 class ChunkClient:
-    def __init__(self, session: aiohttp.ClientSession, directory: Directory) -> None:
+    def __init__(self, session: aiohttp.ClientSession, directory: Directory, counts: Counts | None = None) -> None:
         self._session, self._directory = session, directory
+        self._counts = counts or Counts()
         self._odd = Repeats()
 
     async def send(self, attempt: Attempt, message: Message) -> tuple[Outcome, Answer | None]:
         """Makes the attempt: one message, at most one answer, never a second copy."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        progress = Progress(lambda: attempt.may_begin and self._directory.takes(attempt.node))
+        progress = Progress(
+            lambda: attempt.may_begin and self._directory.takes(attempt.node), self._count_dispatch)
         answer = None
         try:
             async with attempt.limited():
@@ -228,6 +246,9 @@
             elsewhere=read_units(headers.get(ELSEWHERE, ""), nonsense))
         return outcome, answer
 
+    def _count_dispatch(self) -> None:
+        self._counts.dispatches += 1
+
     async def _exchange(self, attempt: Attempt, message: Message, progress: Progress) -> Answer:
         address = self._directory.addresses.get(attempt.node)
         if not address:
--- a/ochrespan/net/discovery.py
+++ b/ochrespan/net/discovery.py
@@ -13,7 +13,9 @@
 import aiohttp
 
 from ..broker import Broker
+from ..figures import TargetCounts
 from ..requests import ListKind, Node, NodeState
+from ..suspension import SuspendedServers
 from .reports import Repeats
 
 log = logging.getLogger(__name__)
@@ -95,7 +97,8 @@
 class Directory:
     """Where the chunk servers listen; the watch keeps it, the client reads it."""
 
-    def __init__(self) -> None:
+    def __init__(self, suspended: SuspendedServers | None = None) -> None:
+        self._suspended = suspended or SuspendedServers()
         self.addresses: dict[str, str] = {}
         self.shards: dict[int, list[str]] = {}  # what runs, by shard, for fronts that place data themselves
         self._nodes: dict[str, Node] = {}
@@ -105,7 +108,16 @@
     def takes(self, node: str) -> bool:
         """Whether something new may be sent there, as of now: an attempt may have waited since it was decided."""
         entry = self._nodes.get(node)
-        return node in self.addresses and (entry is None or entry.state is NodeState.READY)
+        usable = entry is None or self._suspended.as_usable(entry).state is NodeState.READY
+        return node in self.addresses and usable
+
+    def knows(self, server: str) -> bool:
+        """Whether the list names it."""
+        return server in self._nodes
+
+    def nodes(self) -> list[Node]:
+        """The list as the decisions are to see it: what is suspended by hand drains."""
+        return [self._suspended.as_usable(node) for node in self._nodes.values()]
 
     def apply(self, listing: Any) -> tuple[ListKind, list[Node]]:
         """Takes in one of discovery's lists, whole or not at all."""
@@ -124,16 +136,24 @@
             if node.state is NodeState.GONE:  # new ones come under new ids all day: nothing of the old may stay.
                 del self._nodes[node.id]  # An attempt just on its way there finds no address, and never ran.
         self.addresses = {i: a for i, a in self.addresses.items() if i in self._nodes}
-        self.shards = {}
-        for node in self._nodes.values():
-            if node.state is NodeState.READY:
-                self.shards.setdefault(node.shard, []).append(node.id)
+        self._place()
         if not complete and self.revision is not None and revision < self.revision:
             log.warning("discovery counts anew: the whole list is asked for",
                         extra={"place": "revision", "found": revision, "allowed": f"at least {self.revision}"})
             revision = None  # changes since another service's beginning; others may have been before them
         self.revision = revision
-        return (ListKind.FULL if complete else ListKind.DELTA), [node for node, _ in read]
+        return (ListKind.FULL if complete else ListKind.DELTA), [self._suspended.as_usable(node) for node, _ in read]
+
+    def relisted(self) -> list[Node]:
+        """The whole list after a change of what is suspended."""
+        self._place()
+        return self.nodes()
+
+    def _place(self) -> None:
+        self.shards = {}
+        for node in self.nodes():
+            if node.state is NodeState.READY:
+                self.shards.setdefault(node.shard, []).append(node.id)
 
 
 def open_session() -> aiohttp.ClientSession:
@@ -169,6 +189,20 @@
             nodes = []
         self._broker.listing(ListKind.CACHED, nodes)
 
+    def knows(self, server: str) -> bool:
+        """Whether the list names this chunk server."""
+        return self._directory.knows(server)
+
+    def target_counts(self) -> TargetCounts:
+        """Chunk servers in the list, and those of them that get nothing new or are backed off from."""
+        nodes, failing = self._directory.nodes(), self._broker.backing_off()
+        avoided = [node for node in nodes if node.state is not NodeState.READY or node.id in failing]
+        return TargetCounts(len(nodes), len(avoided))
+
+    def relist(self) -> None:
+        """Tells the broker the known list anew. It is no news of discovery's, so the plan of calls stays."""
+        self._broker.listing(ListKind.CACHED, self._directory.relisted())
+
     def move(self, address: str) -> None:
         """Goes on at another address when the broker wants: soon, since the old one is about to close, but not in
         the moment in which all other fronts are told the same. The watch at the old one goes on until then."""
--- a/ochrespan/net/listener.py
+++ b/ochrespan/net/listener.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import logging
 import select
 import socket
+import struct
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, Protocol
@@ -15,6 +17,10 @@
 
 log = logging.getLogger(__name__)
 
+SO_ATTACH_REUSEPORT_CBPF = 51  # Linux; the socket module does not name it
+RETURN_CONSTANT = 0x06  # BPF_RET | BPF_K, the only instruction of a filter
+SECOND = 1  # of the sockets of a group, counted from 0
+
 RESERVE = 48  # descriptors for the rest: log, discovery, listeners, sinks, what is being closed
 BACKLOG = 1024
 HUNG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -47,6 +53,21 @@
     async def shutdown(self, timeout: timedelta) -> None: ...
 
 
+def prefer_newest(listening: socket.socket) -> None:
+    """Steers new connections to the second of the sockets that share an address.
+
+    The filter names it by its place, which is that of the newer process of an upgrade. Where there is none at this
+    place the kernel deals by its own rule. What waits at the older socket stays there, and nothing is added to it.
+    """
+    instruction = struct.pack("HBBI", RETURN_CONSTANT, 0, 0, SECOND)
+    program = ctypes.create_string_buffer(instruction)
+    try:
+        listening.setsockopt(
+            socket.SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, struct.pack("HP", 1, ctypes.addressof(program)))
+    except OSError as why:
+        log.warning("connections are dealt to both processes of an upgrade", extra={"why": str(why)})
+
+
 class Listener:
     """Takes a connection only when there is room for it, and makes room where one is of little use.
 
@@ -154,15 +175,37 @@
     def connections(self) -> int:
         return len(self._states) + len(self._arriving)
 
-    async def open(self, address: tuple[str, int]) -> None:
+    async def open(self, address: tuple[str, int], shared: bool = False) -> None:
+        """`shared`: a second process may listen there; of two, the one that came last takes what is new."""
         (family, kind, proto, _, where), *_ = await self._loop.getaddrinfo(*address, type=socket.SOCK_STREAM)
         self._socket = socket.socket(family, kind, proto)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self._socket.setblocking(False)
         self._socket.bind(where)
         self._socket.listen(BACKLOG)
+        if shared:
+            prefer_newest(self._socket)
         self._look_round()
 
+    def resize(self, most: int, most_quiet: int) -> None:
+        """Another bound from now on; who is there already may stay."""
+        self._most, self._most_quiet = max(1, most), most_quiet
+
+    def dismiss_idle(self, silent_for: timedelta) -> None:
+        """Ends the connections between requests, and those on which nothing has come for so long.
+
+        One whose next request has arrived, though nobody has read it yet, is left to be answered.
+        """
+        now = self._loop.time()
+        idle = list(self._held[State.QUIET])
+        idle += [one for one in self._held[State.SILENT] if now - one.since > silent_for.total_seconds()]
+        for connection in idle:
+            transport = connection.transport
+            if transport is not None and not waits_for(transport, select.POLLIN):
+                connection.expire()
+
     @property
     def occupied(self) -> bool:
         """Whether a request, or its answer, is on its way on any connection: also one that nobody has read yet."""
--- a/ochrespan/requests.py
+++ b/ochrespan/requests.py
@@ -183,6 +183,7 @@
     """What has happened since the start, for the exporters."""
 
     attempts: int = 0
+    dispatches: int = 0  # attempts that were written whole
     not_covered: int = 0  # refused before they were taken: no contract allows them ...
     over_budget: int = 0  # ... or not now
     outcomes: dict[Status, int] = field(default_factory=lambda: dict.fromkeys(Status, 0))
--- /dev/null
+++ b/tests/operating.py
@@ -0,0 +1,101 @@
+"""A front with a control address, and further processes of it for upgrades."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+
+import aiohttp
+
+from .world import World, free_port, until
+
+
+class Controlled(World):
+    """A `World` whose front has a control address and a folder that its processes share."""
+
+    async def __aenter__(self) -> Controlled:
+        self.temporary = tempfile.TemporaryDirectory()
+        self.control = free_port()
+        self.env |= {"BALANCER_CONTROL": f"127.0.0.1:{self.control}", "TMPDIR": self.temporary.name}
+        self.successors: list[Successor] = []
+        await super().__aenter__()
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        for successor in self.successors:
+            await successor.end()
+        await super().__aexit__(*details)
+        self.temporary.cleanup()
+
+    async def command(self, path: str, method: str = "POST", port: int = 0) -> tuple[int, str]:
+        """One call of the control address: its status and body."""
+        status, _, body = await self.call(method, path, port=port or self.control)
+        return status, body.decode()
+
+    async def suspend(self, server: str, port: int = 0) -> int:
+        return (await self.command(f"/v1/chunk-servers/{server}/suspend", port=port))[0]
+
+    async def resume(self, server: str, port: int = 0) -> int:
+        return (await self.command(f"/v1/chunk-servers/{server}/resume", port=port))[0]
+
+    async def figures(self, port: int = 0) -> dict[str, float]:
+        """The figures by name; each line has the statsd form."""
+        status, text = await self.command("/v1/metrics", "GET", port)
+        assert status == 200
+        found = {}
+        for line in text.splitlines():
+            name, _, rest = line.partition(":")
+            value, _, kind = rest.partition("|")
+            assert name.startswith("balancer.") and kind in ("c", "g"), line
+            found[name.removeprefix("balancer.")] = float(value)
+        return found
+
+    async def upgrade(self) -> Successor:
+        """Starts the program once more beside the one that serves."""
+        successor = Successor(self)
+        self.successors.append(successor)
+        await successor.start()
+        return successor
+
+
+class Successor:
+    """A further process of a front, under the same addresses but for the control address."""
+
+    def __init__(self, world: Controlled) -> None:
+        self.world, self.control, self.log = world, free_port(), ""
+
+    async def start(self, **env: str) -> None:
+        world = self.world
+        clean = {name: value for name, value in os.environ.items() if not name.startswith("BALANCER_")}
+        clean |= world.env | {"BALANCER_CONFIG": str(world.config), "BALANCER_DISCOVERY": world.told["discovery"],
+                              "BALANCER_CONTROL": f"127.0.0.1:{self.control}"} | env
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "ochrespan", env=clean, stderr=asyncio.subprocess.PIPE)
+        self._reading = asyncio.create_task(self._read_log())
+
+    async def ready(self) -> None:
+        """Until it says that it can serve."""
+        while True:
+            assert self.process.returncode is None, self.log
+            try:
+                if (await self.world.command("/v1/readyz", "GET", self.control))[0] == 200:
+                    return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(0.02)
+
+    async def end(self) -> None:
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGKILL)
+        await self.process.wait()
+        await self._reading
+
+    async def _read_log(self) -> None:
+        async for line in self.process.stderr:
+            self.log += line.decode()
+
+
+__all__ = ["Controlled", "Successor", "until"]
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,128 @@
+"""The control address: calls, figures and bad callers, against the real program."""
+
+import asyncio
+import time
+
+import pytest
+
+from ochrespan.control.commands import (
+    ActivateFront,
+    DrainFront,
+    ReadMetrics,
+    ReadReadiness,
+    ResumeServer,
+    SuspendServer,
+    UnknownPath,
+    WrongMethod,
+    read_command,
+)
+from ochrespan.control.statsd import text
+from ochrespan.figures import Reading
+
+from .operating import Controlled
+from .world import World, play, until
+
+
+@pytest.mark.parametrize(("method", "target", "command"), [
+    ("GET", "/v1/readyz", ReadReadiness()),
+    ("GET", "/v1/metrics?format=statsd", ReadMetrics()),
+    ("POST", "/v1/chunk-servers/s-1/suspend", SuspendServer("s-1")),
+    ("POST", "/v1/chunk-servers/a%2Fb/resume", ResumeServer("a/b")),
+    ("POST", "/v1/front/drain", DrainFront()),
+    ("POST", "/v1/front/activate", ActivateFront()),
+])
+def test_a_call_is_read_as_its_command(method, target, command):
+    assert read_command(method, target) == command
+
+
+@pytest.mark.parametrize("target", [
+    "/", "/v1", "/v1/readyz/", "/v1/chunk-servers/s-1", "/v1/chunk-servers//suspend", "/v1/chunk-servers/a/b/suspend",
+    "/v1/chunk-servers/s-1/stop", "/v1/front", "/v2/readyz", "/up"])
+def test_a_path_without_a_call_is_unknown(target):
+    with pytest.raises(UnknownPath):
+        read_command("GET", target)
+
+
+@pytest.mark.parametrize(("method", "target", "allowed"), [
+    ("POST", "/v1/readyz", "GET"), ("GET", "/v1/front/drain", "POST"), ("GET", "/v1/chunk-servers/x/suspend", "POST")])
+def test_a_call_under_another_method_names_the_right_one(method, target, allowed):
+    with pytest.raises(WrongMethod) as why:
+        read_command(method, target)
+    assert why.value.allowed == allowed
+
+
+def test_readings_become_statsd_lines_and_no_name_ends_early():
+    readings = [Reading("success", "photo-read", 812, True), Reading("front", "concurrent", 14, False),
+                Reading("error", "a:b|c d", 1, True), Reading("front", "dispatches", 12345678, True)]
+    assert text(readings) == (
+        "balancer.success.photo-read:812|c\nbalancer.concurrent:14|g\nbalancer.error.a_b_c_d:1|c\n"
+        "balancer.dispatches:12345678|c\n")
+
+
+def test_each_call_has_one_answer_and_its_connection_ends():
+    async def story():
+        async with Controlled(1) as world:
+            for method, path, status in (
+                    ("GET", "/v1/readyz", 200), ("GET", "/v1/metrics", 200), ("GET", "/v1/other", 404),
+                    ("DELETE", "/v1/metrics", 405), ("POST", "/v1/chunk-servers/nobody/suspend", 404),
+                    ("POST", "/v1/chunk-servers/nobody/resume", 404), ("GET", "/up", 404)):
+                reader, writer = await asyncio.open_connection("127.0.0.1", world.control)
+                writer.write(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+                got = await asyncio.wait_for(reader.read(), 1)  # to the end of the connection
+                assert got.startswith(f"HTTP/1.1 {status} ".encode()), (path, got)
+                writer.close()
+
+    play(story())
+
+
+def test_without_the_setting_there_is_no_control_address():
+    async def story():
+        async with World(1) as world:
+            assert (await world.call("GET", "/v1/readyz"))[0] == 400
+            assert "control" not in world.log
+
+    play(story())
+
+
+def test_callers_that_send_half_a_call_and_stay_hold_nobody_up():
+    async def story():
+        async with Controlled(1) as world:
+            stuck = []
+            for i in range(40):
+                reader, writer = await asyncio.open_connection("127.0.0.1", world.control)
+                if i % 2:
+                    writer.write(b"POST /v1/front/drain HTTP/1.1\r\nContent-Le")
+                stuck.append(writer)
+            for _ in range(5):
+                began = time.monotonic()
+                assert (await asyncio.wait_for(world.command("/v1/readyz", "GET"), 1))[0] == 200
+                assert time.monotonic() - began < 1
+                await asyncio.sleep(0.1)
+            for writer in stuck:
+                writer.close()
+
+    play(story())
+
+
+def test_the_figures_count_ends_by_class_attempts_and_servers():
+    async def story():
+        async with Controlled(2) as world:
+            zero = await world.figures()
+            assert zero["success.read"] == zero["overload.brief"] == zero["dispatches"] == zero["concurrent"] == 0
+            assert (zero["targets"], zero["targets_disabled"]) == (2, 0)
+            world.nodes[0].script.extend(["any", "full", "any", "error", "error", "error"])
+            for name in ("t1", "t2", "t3"):
+                await world.ask(name)
+            await world.ask("t4", "PUT", b"x" * 70, 1, cls="write")
+            found = await world.figures()
+            assert (found["success.read"], found["overload.read"] + found["error.read"]) == (2, 1)
+            assert found["success.write"] == 1
+            assert found["dispatches"] == 7 == sum(len(node.seen) for node in world.nodes)
+            world.nodes[0].always = "stall"
+            hanging = asyncio.create_task(world.ask("t5"))
+            await until(lambda: len(world.nodes[0].seen) == 7)
+            found = await world.figures()
+            assert (found["concurrent"], found["dispatches"]) == (1, 8)  # while its answer is still awaited
+            hanging.cancel()
+
+    play(story())
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,168 @@
+"""Two processes of one front: connections, bans and limits pass from the old one to the new one."""
+
+import asyncio
+import socket
+from datetime import timedelta
+from itertools import count
+
+import pytest
+
+from ochrespan.net.listener import Listener
+from ochrespan.sockets import Sockets
+from ochrespan.upgrade import Roster, shared_folder
+
+from .operating import Controlled
+from .test_endings import GET, Idle
+from .world import free_port, play, until
+
+NUMBERS = count()  # an id of its own for each request
+
+def test_a_roster_knows_who_lives_who_came_first_and_who_is_ready(tmp_path):
+    folder = shared_folder(str(tmp_path), "n0")
+    first, second = Roster(folder), Roster(folder)
+    first.join()
+    assert first.size() == 1 and not first.has_predecessor() and not first.has_ready_successor()
+    second.join()
+    assert first.size() == second.size() == 2
+    assert second.has_predecessor() and not first.has_predecessor()
+    assert not first.has_ready_successor()
+    second.tell_ready()
+    assert first.has_ready_successor() and not second.has_ready_successor()
+    second._own.close()  # as the end of its process does, whatever ended it
+    assert first.size() == 1 and not first.has_ready_successor()
+
+
+def test_fronts_of_other_names_are_not_on_the_roster(tmp_path):
+    mine, other = Roster(shared_folder(str(tmp_path), "n0")), Roster(shared_folder(str(tmp_path), "n1"))
+    mine.join()
+    other.join()
+    assert mine.size() == other.size() == 1
+
+
+@pytest.mark.parametrize("limit", [128, 384, 1024])
+def test_two_processes_hold_no_more_descriptors_than_one(limit):
+    class Bound:
+        def resize(self, most, most_quiet):
+            self.most = most
+
+    bounds = {}
+    for processes in (1, 2):
+        clients, sockets = Bound(), Sockets(limit, controlled=True)
+        sockets.share([clients], 1, processes)
+        bounds[processes] = processes * (clients.most + sockets.outgoing(processes))
+    assert 0 < bounds[2] <= bounds[1] < limit
+
+
+def test_of_two_listeners_the_newer_takes_what_is_new_and_the_older_keeps_its_backlog():
+    """With SO_REUSEPORT alone half of the new ones came to the older, and were reset as it closed."""
+    async def story():
+        port, older, newer = free_port(), Idle(), Idle()
+        first, second = Listener(older, 1000), Listener(newer, 1000)
+        await first.open(("127.0.0.1", port), shared=True)
+        waiting = [socket.create_connection(("127.0.0.1", port), 5) for _ in range(30)]  # without a turn of the loop
+        await second.open(("127.0.0.1", port), shared=True)
+        fresh = [socket.create_connection(("127.0.0.1", port), 5) for _ in range(60)]
+        assert first.stop_accepting()
+        late = [socket.create_connection(("127.0.0.1", port), 5) for _ in range(10)]  # the older has closed
+        await until(lambda: first.connections == 30 and second.connections == 70)
+        for client in (*waiting, *fresh, *late):
+            client.close()
+        await first.shutdown(timedelta())
+        await second.shutdown(timedelta())
+
+    play(story())
+
+
+async def ask_often(world, answers: list, stop: asyncio.Event) -> None:
+    """Requests over new and kept connections until told to stop; what a connection does wrong is kept too."""
+    while not stop.is_set():
+        try:
+            answers.append((await world.ask(f"often-{next(NUMBERS)}"))[0])
+        except Exception as why:
+            answers.append(why)
+        await asyncio.sleep(0.005)
+
+
+def test_an_upgrade_under_requests_loses_none_and_the_old_process_ends():
+    async def story():
+        async with Controlled(1) as world:
+            world.nodes[0].always = "any"
+            answers, stop = [], asyncio.Event()
+            clients = [asyncio.create_task(ask_often(world, answers, stop)) for _ in range(4)]
+            successor = await world.upgrade()
+            await successor.ready()
+            world.stop()
+            assert await asyncio.wait_for(world.process.wait(), 5) == 0
+            before = len(answers)
+            await until(lambda: len(answers) > before + 20)
+            stop.set()
+            await asyncio.gather(*clients)
+            assert set(answers) == {200}, [a for a in answers if a != 200][:3]
+            assert successor.process.returncode is None
+
+    play(story())
+
+
+def test_an_upgrade_whose_new_process_fails_leaves_the_old_one_serving():
+    async def story():
+        async with Controlled(1) as world:
+            world.nodes[0].always = "any"
+            successor = await world.upgrade()
+            await successor.ready()
+            await successor.end()
+            answers, stop = [], asyncio.Event()
+            client = asyncio.create_task(ask_often(world, answers, stop))
+            await until(lambda: len(answers) > 20)
+            stop.set()
+            await client
+            assert set(answers) == {200}
+            reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            writer.write(GET)
+            assert (await reader.readline()).startswith(b"HTTP/1.1 400 ")
+            writer.close()
+
+    play(story())
+
+
+def test_two_upgrades_in_a_row():
+    async def story():
+        async with Controlled(1) as world:
+            world.nodes[0].always = "any"
+            answers, stop = [], asyncio.Event()
+            client = asyncio.create_task(ask_often(world, answers, stop))
+            second = await world.upgrade()
+            await second.ready()
+            world.stop()
+            assert await asyncio.wait_for(world.process.wait(), 5) == 0
+            third = await world.upgrade()
+            await third.ready()
+            second.process.terminate()
+            assert await asyncio.wait_for(second.process.wait(), 5) == 0
+            before = len(answers)
+            await until(lambda: len(answers) > before + 20)
+            stop.set()
+            await client
+            assert set(answers) == {200}
+
+    play(story())
+
+
+def test_bans_pass_to_the_new_process_also_those_that_come_while_both_run():
+    async def story():
+        async with Controlled(2) as world:
+            for node in world.nodes:
+                node.always = "any"
+            assert await world.suspend("s-0") == 200
+            successor = await world.upgrade()
+            await successor.ready()
+            assert (await world.figures(successor.control))["targets_disabled"] == 1
+            assert await world.suspend("s-1") == 200  # told to the old one
+            await asyncio.sleep(0.4)
+            assert (await world.figures(successor.control))["targets_disabled"] == 2
+            world.stop()
+            await world.process.wait()
+            assert await world.resume("s-1", successor.control) == 200
+            assert (await world.ask("t1", shard=1))[0] == 200
+            assert (await world.ask("t0", shard=0))[0] == 503 and not world.nodes[0].seen
+
+    play(story())
