Connections to servers: an unsafe request uses one as long as the server's time-out allows

New connections are dear, and half of the kept time was given away for unsafe requests although the server tells its time-out and an ended connection is seen before it is used. Only where no time-out was told does an unsafe request ask for a connection used within the last second; with the servers' 10 s, idle connections now last 9.2 s for all in place of 4.5 s for unsafe ones. The attempts' tests pass unchanged.

--- a/ochrespan/data_plane/connection_pool.py
+++ b/ochrespan/data_plane/connection_pool.py
@@ -15,9 +15,9 @@
 
 RECEIVED_BOUND = 256 * 1024  # bytes of an answer that may wait for a slow client
 DEFAULT_KEEP_ALIVE_S = 4.0  # where a server does not say how long it keeps an idle connection
-KEEP_ALIVE_MARGIN_S = 1.0  # an idle connection is closed this much before the server would do it
+KEEP_ALIVE_MARGIN_S = 0.8  # an idle connection is closed this much before the server would do it
 SHORT_KEEP_ALIVE_SHARE = 0.5  # of a time-out that leaves no room for the margin
-FRESH_SHARE = 0.5  # of the time that a connection is kept, in which an unsafe request may use it
+FRESH_S = 1.0  # rest after which an unsafe request takes a new connection, where the server tells no time-out
 USER_TIMEOUT_MS = 6000  # unacknowledged data ends a connection after this long
 KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_PROBES = 2, 2, 2
 
@@ -25,7 +25,7 @@
 class ServerConnection:
     """A connection to one server, which carries one request at a time."""
 
-    __slots__ = ("socket", "requests", "idle_since", "kept_until")
+    __slots__ = ("socket", "requests", "kept_until", "fresh_until")
 
     def __init__(self, address: Address) -> None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -40,15 +40,12 @@
             raise
         self.socket = WatchedSocket(sock, RECEIVED_BOUND)
         self.requests = 0
-        self.idle_since = 0.0
         self.kept_until = 0.0
+        self.fresh_until = 0.0
 
     def is_usable(self, now: float, unsafe: bool) -> bool:
         """Whether the server surely still waits for a request here; a request that must not run twice asks for more."""
-        kept_until = self.kept_until
-        if unsafe:
-            kept_until = self.idle_since + FRESH_SHARE * (kept_until - self.idle_since)
-        if now >= kept_until:
+        if now >= self.kept_until or (unsafe and now >= self.fresh_until):
             return False
         self.socket.poll()
         return not self.socket.ended and not self.socket.received
@@ -96,8 +93,8 @@
             self.discard(connection)
             return
         now = time.monotonic()
-        connection.idle_since = now
         connection.kept_until = now + _time_to_keep(keep_alive_s)
+        connection.fresh_until = now + FRESH_S if keep_alive_s is None else connection.kept_until
         connection.socket.on_event = lambda: self._drop_idle(connection)
         self._idle.append(connection)
         if self._expiry is None:
