--- a/ochrespan/control_plane/controller_choice.py
+++ b/ochrespan/control_plane/controller_choice.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
-import zlib
+import hashlib
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from ..transport.tcp import Address, format_address
 
 SHORTEST_BACK_OFF_S = 0.2
-LONGEST_BACK_OFF_S = 4.0
+LONGEST_BACK_OFF_S = 2.0
+SHORTEST_CONNECT_TIMEOUT_S = 0.25
+LONGEST_CONNECT_TIMEOUT_S = 1.0
 SHORTEST_PAUSE_S = 0.01
-LONGEST_PAUSE_S = 0.3
+LONGEST_PAUSE_S = 0.6
 TOLD_LASTS_S = 600.0
 
 
@@ -59,6 +61,12 @@
         at_hand = self._candidates[best]
         return at_hand.zone == self._zone != self._candidates[current].zone and at_hand.not_before <= now
 
+    def another_has_rested(self, current: Address, now: float) -> bool:
+        """Whether a controller other than `current` may be tried now."""
+        return any(
+            address != current and candidate.not_before <= now for address, candidate in self._candidates.items()
+        )
+
     def failed(self, address: Address, now: float, draw: float) -> None:
         """The controller did not serve; `draw` from 0 to 1 spreads the routers' next tries."""
         candidate = self._candidates[address]
@@ -66,6 +74,11 @@
         back_off = min(SHORTEST_BACK_OFF_S * 2 ** min(candidate.failures, 10), LONGEST_BACK_OFF_S)
         candidate.not_before = now + back_off * (0.5 + draw / 2)
 
+    def connect_timeout(self, address: Address) -> float:
+        """How long to wait for a connection: a machine that is down says nothing, while another may be up already."""
+        failures = min(self._candidates[address].failures, 10)
+        return min(SHORTEST_CONNECT_TIMEOUT_S * 2**failures, LONGEST_CONNECT_TIMEOUT_S)
+
     def succeeded(self, address: Address) -> None:
         """The controller serves well."""
         self._candidates[address].failures = 0
@@ -75,7 +88,11 @@
         rest = self._candidates[self.best(now)].not_before - now
         return max(SHORTEST_PAUSE_S, min(rest, LONGEST_PAUSE_S)) * (0.5 + draw / 2)
 
-    def _rank(self, address: Address, now: float) -> tuple[float, bool, int]:
+    def _rank(self, address: Address, now: float) -> tuple[float, bool, bytes]:
         candidate = self._candidates[address]
         rest = max(0.0, candidate.not_before - now)
-        return rest, candidate.zone != self._zone, zlib.crc32(f"{self._node} {format_address(address)}".encode())
+        return rest, candidate.zone != self._zone, self._draw(address)
+
+    def _draw(self, address: Address) -> bytes:
+        """A number for this router and the controller; a checksum would put all routers in nearly the same order."""
+        return hashlib.blake2b(f"{self._node} {format_address(address)}".encode(), digest_size=8).digest()
