Router: requests take tokens of their tenant's quota before they are scheduled

The quota client of the control plane had no caller, so no tenant was bounded. The front takes a request's tokens once its route and tenant are known, answers 429 with the time to come back, and renews them before a send that comes late; a stream that has begun is taken up whatever the quota says, since it has counted already. Tests with scripted quotas cover each of these; the process test of a core that is lost now asks until the router has heard of it, as the feed stays connected to the only controller.

--- a/ochrespan/data_plane/exchange.py
+++ b/ochrespan/data_plane/exchange.py
@@ -12,7 +12,8 @@
 from .decisions import Action, Fail, Outcome, Refuse, Request, Send
 from .dispatcher import Dispatcher
 from .event_stream import EventStream
-from .own_answers import OwnAnswer, StartResponse, answer_for
+from .own_answers import OwnAnswer, StartResponse, answer_for, over_quota
+from .quota_ticket import QuotaTicket
 from .request_head import ClientGone
 from .server_answer import MISDIRECTED, ServerAnswer
 from .server_pools import ServerPools
@@ -46,6 +47,7 @@
         client: ClientConnection,
         request: Request,
         server_request: ServerRequest,
+        ticket: QuotaTicket | None = None,
     ) -> None:
         self._dispatcher = tools.dispatcher
         self._pools = tools.pools
@@ -53,6 +55,7 @@
         self._client = client
         self._request = request
         self._server_request = server_request
+        self._ticket = ticket
         self._unsafe = not (request.safe or request.resumable)
         self._decision: Action | None = None
         self._expired = False
@@ -96,6 +99,8 @@
             decision = self._next_decision()
             if not isinstance(decision, Send):
                 return answer_for(decision, self._server_request.request_id)
+            if self._ticket is not None and not self._ticket.renew():
+                return over_quota(self._server_request.request_id, self._ticket.retry_after_s)
             if attempt := self._begin_attempt(decision):
                 return attempt
 
--- a/ochrespan/data_plane/front.py
+++ b/ochrespan/data_plane/front.py
@@ -7,16 +7,21 @@
 import re
 import time
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
+from ..control_plane.quota_client import cost_of
 from .client_connection import ClientConnection, ReadLimits
 from .decisions import Request
 from .exchange import Exchange, ExchangeTools
-from .own_answers import OwnAnswer, StartResponse
+from .own_answers import OwnAnswer, StartResponse, over_quota
+from .quota_ticket import Quotas, QuotaTicket
 from .request_head import BAD_REQUEST, RequestHead, RequestRefused
 from .routing_table import RouteEntry, RoutingTable
 from .server_request import ServerRequest
 
+if TYPE_CHECKING:
+    from ..control_plane.views import Tenant
+
 log = logging.getLogger(__name__)
 
 CONNECTION_KEY, HEAD_KEY = "ochrespan.connection", "ochrespan.head"  # in the WSGI environment
@@ -34,9 +39,10 @@
 class Front:
     """Serves by the table in force, which is replaced whole. `is_fresh` tells whether the table surely is current."""
 
-    def __init__(self, tools: ExchangeTools, is_fresh: Callable[[], bool]) -> None:
+    def __init__(self, tools: ExchangeTools, is_fresh: Callable[[], bool], quotas: Quotas | None = None) -> None:
         self._tools = tools
         self._is_fresh = is_fresh
+        self._quotas = quotas
         self._numbers = itertools.count(1)
         self.table: RoutingTable | None = None
 
@@ -69,10 +75,16 @@
             tenant = table.tenant_of(key) if key is not None else None
             if tenant is None and not entry.route.public:
                 return self._deny(401, "a key that is not known" if key else "no key", request_id)
-        request = self._request(head, request_id, entry, tenant, arrived)
+        usage = _token_usage(head)
+        request = self._request(head, request_id, entry, tenant, usage or (0, 0), arrived)
         client.answer_until = request.deadline + ANSWER_GRACE_S
+        ticket = None
+        if tenant is not None and self._quotas is not None:
+            ticket = QuotaTicket(self._quotas, tenant.name, cost_of(tenant, usage))
+            if not ticket.is_valid:
+                return over_quota(request_id, ticket.retry_after_s)
         server_request = ServerRequest(head, request_id, body, tenant.name if tenant else None)
-        return Exchange(self._tools, client, request, server_request)
+        return Exchange(self._tools, client, request, server_request, ticket)
 
     def _deny(self, status: int, text: str, request_id: str) -> OwnAnswer:
         """A denial; where the table may be old, the client is told to come back instead."""
@@ -80,10 +92,17 @@
             return OwnAnswer(status, text, request_id)
         return OwnAnswer(503, f"{text}, as far as is known", request_id, STALE_RETRY_AFTER_S)
 
-    def _request(self, head: RequestHead, request_id: str, entry: RouteEntry, tenant: Any, arrived: float) -> Request:
+    def _request(
+        self,
+        head: RequestHead,
+        request_id: str,
+        entry: RouteEntry,
+        tenant: Tenant | None,
+        tokens: tuple[int, int],
+        arrived: float,
+    ) -> Request:
         route = entry.route
         streaming = route.route_type == "streaming"
-        tokens_in, tokens_out = _token_usage(head)
         timeout_ms = min(route.timeout_ms, _deadline_ms(head))
         aim_ms = route.target_latency_ms or route.timeout_ms
         return Request(
@@ -98,8 +117,8 @@
             aim=aim_ms / 1000,
             deadline=arrived + timeout_ms / 1000,
             max_servers=max(1, route.max_retries),
-            tokens_in=tokens_in,
-            tokens_out=tokens_out,
+            tokens_in=tokens[0],
+            tokens_out=tokens[1],
             prefix=_prompt_prefix(head) if route.session_affinity else (),
             arrived=arrived,
         )
@@ -121,10 +140,10 @@
     return float(text)
 
 
-def _token_usage(head: RequestHead) -> tuple[int, int]:
+def _token_usage(head: RequestHead) -> tuple[int, int] | None:
     text = _only_value(head, "x-token-usage")
     if text is None:
-        return 0, 0
+        return None
     found = _TOKEN_USAGE.fullmatch(text)
     if found is None:
         raise RequestRefused(BAD_REQUEST, "X-Token-Usage", repr(text[:40]), "two whole numbers, split by a comma")
--- a/ochrespan/data_plane/own_answers.py
+++ b/ochrespan/data_plane/own_answers.py
@@ -32,9 +32,13 @@
         return [body]
 
 
+def over_quota(request_id: str, retry_after: float) -> OwnAnswer:
+    """The answer to a request beyond its tenant's quota."""
+    return OwnAnswer(HTTPStatus.TOO_MANY_REQUESTS, "over the tenant's quota", request_id, retry_after)
+
+
 def answer_for(decision: Refuse | Fail, request_id: str) -> OwnAnswer:
     """The answer that tells a client what the scheduler has decided."""
     if isinstance(decision, Refuse):
-        text = "over the tenant's quota" if decision.status == HTTPStatus.TOO_MANY_REQUESTS else "not run"
-        return OwnAnswer(decision.status, text, request_id, decision.retry_after)
+        return OwnAnswer(decision.status, "not run", request_id, decision.retry_after)
     return OwnAnswer(decision.status, "no whole answer from a server", request_id)
--- a/ochrespan/data_plane/router_node.py
+++ b/ochrespan/data_plane/router_node.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -16,12 +17,12 @@
 from .exchange import ExchangeTools
 from .front import Front
 from .ingress import IngressServer
+from .quota_ticket import Quotas
 from .readiness import ReadinessServer
 from .routing_table import RoutingTable
 from .server_pools import ServerPools
 
 if TYPE_CHECKING:
-    from ..control_plane.feed_client import FeedClient
     from ..control_plane.fleet_table import FleetChange, FleetTable
 
 log = logging.getLogger(__name__)
@@ -46,18 +47,25 @@
 
 
 class RouterNode:
-    """Serves clients by the latest table. `feed` is given once it exists, since it calls `table_changed`."""
-
-    def __init__(self, front: Address, ready: Address, max_descriptors: int, scheduler: SchedulerLike) -> None:
+    """Serves clients by the latest table that it was told of."""
+
+    def __init__(
+        self,
+        front: Address,
+        ready: Address,
+        max_descriptors: int,
+        scheduler: SchedulerLike,
+        quotas: Quotas | None = None,
+        table_is_fresh: Callable[[], bool] = lambda: True,
+    ) -> None:
         deadlines = DeadlineHeap(gevent.get_hub().loop)
         self._dispatcher = Dispatcher(scheduler, deadlines)
         self._pools = ServerPools(deadlines)
-        self._front = Front(ExchangeTools(self._dispatcher, self._pools, deadlines), self._table_is_fresh)
+        self._front = Front(ExchangeTools(self._dispatcher, self._pools, deadlines), table_is_fresh, quotas)
         max_clients = max(16, int((max_descriptors - KEPT_DESCRIPTORS) * CLIENT_SHARE))
         self.ingress = IngressServer(front, self._front, deadlines, max_clients)
         self._readiness = ReadinessServer(ready, self.is_ready)
         self._stopping = False
-        self.feed: FeedClient | None = None
 
     def start(self) -> None:
         """Begins to listen; requests are refused until there is a table."""
@@ -95,9 +103,6 @@
         gevent.sleep(0)  # requests that were broken off tell their servers
         self._readiness.close()
 
-    def _table_is_fresh(self) -> bool:
-        return self.feed is None or self.feed.controller is not None
-
 
 def list_servers(table: FleetTable) -> list[Server]:
     """All servers of the table as the scheduler knows them."""
--- a/ochrespan/programs/router.py
+++ b/ochrespan/programs/router.py
@@ -11,8 +11,11 @@
 from gevent.event import Event
 
 from ..control_plane.checking import CheckFailed
+from ..control_plane.control_service import Peers
 from ..control_plane.feed_client import FeedClient
+from ..control_plane.fleet_table import FleetChange, FleetTable
 from ..control_plane.peer_addresses import seed_peer_addresses
+from ..control_plane.router_quota import configure_quotas, quota_client_for
 from ..data_plane.router_node import DrainTimes, RouterNode
 from ..data_plane.scheduler import Scheduler
 from ..transport.tcp import parse_address
@@ -39,19 +42,29 @@
         listen = settings["listen"]
         max_descriptors = settings.get("limits", {}).get("max_fds", DEFAULT_MAX_DESCRIPTORS)
         self._settings = settings
-        self._node = RouterNode(
-            parse_address(listen["front"]), parse_address(listen["ready"]), max_descriptors, scheduler
-        )
         self._feed = FeedClient(
-            settings["node"], settings["zone"], seed_peer_addresses(settings), self._node.table_changed
+            settings["node"], settings["zone"], seed_peer_addresses(settings), self._table_changed
+        )
+        self._quotas = quota_client_for(settings["node"], settings.get("bounds", {}), self._feed, Peers())
+        self._node = RouterNode(
+            parse_address(listen["front"]),
+            parse_address(listen["ready"]),
+            max_descriptors,
+            scheduler,
+            self._quotas,
+            table_is_fresh=lambda: self._feed.controller is not None,
         )
-        self._node.feed = self._feed
 
     def start(self) -> None:
         """Begins to listen and to follow the feed."""
         self._node.start()
         self._feed.start()
 
+    def _table_changed(self, table: FleetTable, change: FleetChange) -> None:
+        if change.tenants or change.routers:
+            configure_quotas(self._quotas, table)
+        self._node.table_changed(table, change)
+
     def settings_changed(self, settings: Settings) -> None:
         """Takes over what may change while the process runs."""
         self._settings = settings
--- a/tests/test_router_process.py
+++ b/tests/test_router_process.py
@@ -112,6 +112,11 @@
     assert world.controllers[0].put_config(configuration(1, *routes), 0)[0] == 200
 
 
+def status_of_unknown_route(client: Client) -> int:
+    client.ask("/unknown/x", id="q4")
+    return client.read_answer().status
+
+
 def test_a_router_is_ready_once_it_has_a_table_and_serves_on_with_the_core_down(world, start):
     server = StandInServer(answer(b"hi"))
     router = start()
@@ -128,12 +133,12 @@
     assert client.read_answer().body == b"hi"
     groups = world.controllers[0].groups
     groups.quorum_ages = dict.fromkeys(groups.quorum_ages, 60.0)
-    router.wait_for("feed left")
+    with gevent.Timeout(10):
+        while status_of_unknown_route(client) != 503:  # the router hears of it within a beat of the feed
+            pass
     assert router.is_ready()
     client.ask("/plain/x", id="q3")
     assert client.read_answer().body == b"hi"
-    client.ask("/unknown/x", id="q4")
-    assert client.read_answer().status == 503
 
 
 def test_sigterm_ends_readiness_first_then_connections_and_finishes_what_runs(world, start):
--- /dev/null
+++ b/tests/test_router_quotas.py
@@ -0,0 +1,85 @@
+"""Quotas at the front: tokens are taken when a request comes, renewed when it is sent late, and refused with 429."""
+
+from dataclasses import replace
+
+import pytest
+
+from ochrespan.control_plane.quota_client import UNLIMITED, Taken
+from ochrespan.control_plane.views import QuotaUnit
+from tests.fleet_standins import StandInServer, answer, configuration, route, router, stream, tenant
+
+USAGE = "X-Credential: key\r\nX-Token-Usage: 1460,80\r\n"
+REFUSED = Taken(False, 0.75)
+
+
+class ScriptedQuotas:
+    """Answers by script; the last entry is repeated."""
+
+    def __init__(self, takes: list[Taken], renewals: list[Taken] | None = None) -> None:
+        self.takes, self.renewals = takes, renewals or [UNLIMITED]
+        self.taken: list[tuple[str, float]] = []
+
+    def take(self, name: str, tokens: float) -> Taken:
+        self.taken.append((name, tokens))
+        return self.takes.pop(0) if len(self.takes) > 1 else self.takes[0]
+
+    def renew(self, name: str, taken: Taken) -> Taken:
+        return self.renewals.pop(0) if len(self.renewals) > 1 else self.renewals[0]
+
+
+def limited(unit: QuotaUnit = QuotaUnit.TOKENS):
+    return replace(tenant("acme", "key"), unit=unit, plain_tokens=200.0, rate_per_s=1000.0)
+
+
+@pytest.mark.parametrize(
+    ("unit", "headers", "tokens"),
+    [
+        (QuotaUnit.TOKENS, USAGE, 1540),
+        (QuotaUnit.TOKENS, "X-Credential: key\r\n", 200),
+        (QuotaUnit.REQUESTS, USAGE, 1),
+    ],
+)
+def test_a_request_costs_its_tokens_or_one(unit, headers, tokens):
+    quotas = ScriptedQuotas([UNLIMITED])
+    with router(quotas=quotas) as made:
+        made.use(configuration(route(), tenants=(limited(unit),)), StandInServer(answer()))
+        client = made.client()
+        client.ask(headers=headers)
+        assert client.read_answer().status == 200
+    assert quotas.taken == [("acme", tokens)]
+
+
+def test_a_request_beyond_the_quota_is_told_when_to_come_back():
+    server = StandInServer(answer())
+    with router(quotas=ScriptedQuotas([REFUSED, UNLIMITED])) as made:
+        made.use(configuration(route(), tenants=(limited(),)), server)
+        client = made.client()
+        client.ask(headers=USAGE)
+        got = client.read_answer()
+        assert (got.status, got.value("Retry-After")) == (429, "0.750")
+        assert not made.scheduler.submitted
+        client.ask(headers=USAGE, id="q2")
+        assert client.read_answer().status == 200
+
+
+def test_tokens_that_can_not_be_renewed_before_the_send_refuse_the_request():
+    server = StandInServer(answer())
+    with router(quotas=ScriptedQuotas([UNLIMITED], [REFUSED])) as made:
+        made.use(configuration(route(), tenants=(limited(),)), server)
+        client = made.client()
+        client.ask(headers=USAGE)
+        assert client.read_answer().status == 429
+        assert not server.requests and not made.dispatcher.running
+        assert made.scheduler.cancelled
+
+
+def test_a_stream_that_has_begun_is_taken_up_whatever_the_quota_says():
+    def reset(received):
+        raise ConnectionResetError
+
+    servers = [StandInServer(stream(1, end=reset)), StandInServer(stream(2))]
+    with router(quotas=ScriptedQuotas([UNLIMITED], [UNLIMITED, REFUSED])) as made:
+        made.use(configuration(route(kind="streaming", resumable=True), tenants=(limited(),)), *servers)
+        client = made.client()
+        client.ask(headers=USAGE)
+        assert client.read_answer().whole
