Quotas: tokens of a request that was not sent can be released

Requests that are refused in a router's queue after they took tokens would drain their tenant's bucket for nothing. A release returns the tokens to the owner that granted them, like a renewal does; a test takes and releases far more than the bucket holds.

--- a/ochrespan/control_plane/quota_client.py
+++ b/ochrespan/control_plane/quota_client.py
@@ -143,6 +143,12 @@
         state.granted.give_back(taken.tokens, taken.epoch)
         return self._take_by_asking(tenant, taken.tokens)
 
+    def release(self, tenant: str, taken: Taken) -> None:
+        """The request was surely not sent, and will not be: its tokens go back to the owner with the next request."""
+        state = self._states.get(tenant)
+        if state is not None and taken.epoch is not None:
+            state.granted.give_back(taken.tokens, taken.epoch)
+
     def _take_by_asking(self, tenant: str, tokens: float) -> Taken:
         state = self._states[tenant]
         grant = self._ask(tenant, state, tokens, state.demand.wanted_ahead())
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -288,3 +288,15 @@
     client = QuotaClient("edge-1", BOUNDS, lambda tenant: [OWNER, OTHER, third], call)
     client.configure({"t": limited()}, 1)
     assert client.take("t", 5.0).allowed
+
+
+def test_tokens_of_a_request_that_was_not_sent_go_back_to_the_owner():
+    clock, tenant = Clock(), limited(rate=10.0, burst=5.0, unit=QuotaUnit.REQUESTS)
+    fleet = Fleet(tenant, 1, clock)
+    clock.now += 20.0
+    client = fleet.clients[0]
+    for _ in range(100):
+        taken = client.take("t", 10.0)
+        assert taken.allowed
+        client.release("t", taken)
+    client.release("unlimited", client.take("unlimited", 1.0))
