Router: silent connections to servers end after 3 s, and bodies share a bounded memory

A server that went dark held its streams for 6 s, longer than most clients wait, though a resumable stream can go on elsewhere; the unacknowledged time is 3 s now. Bodies of up to 4 MB on thousands of connections could exceed the machine's memory, so all together may take a fifth of it, beyond which a request is told to come back.

--- a/benchmarks/fleet_front.py
+++ b/benchmarks/fleet_front.py
@@ -96,7 +96,7 @@
     """The data plane with a table that stands."""
     from ochrespan.control_plane.fleet_table import FleetChange, FleetTable
     from ochrespan.control_plane.views import ClientLimits, ConfigurationView, Instance, route_view, tenant_view
-    from ochrespan.data_plane.router_node import RouterNode
+    from ochrespan.data_plane.router_node import MachineLimits, RouterNode
     from ochrespan.data_plane.scheduler import Scheduler
 
     def route(name: str, path: str, kind: str) -> Any:
@@ -113,7 +113,7 @@
         f"i-{number}": Instance(f"i-{number}", "engines", address, "z", "v1", 64, "ready", 0.0, "", ())
         for number in range(4)
     }
-    node = RouterNode(("127.0.0.1", 0), ("127.0.0.1", 0), 4096, Scheduler("z", 1, 0.2, 50, 10))
+    node = RouterNode(("127.0.0.1", 0), ("127.0.0.1", 0), MachineLimits(), Scheduler("z", 1, 0.2, 50, 10))
     node.table_changed(
         FleetTable(view, {"engines": instances}), FleetChange(frozenset({"plain"}), instances=frozenset({"engines"}))
     )
--- a/ochrespan/data_plane/client_connection.py
+++ b/ochrespan/data_plane/client_connection.py
@@ -13,6 +13,7 @@
     HEAD_TOO_LARGE,
     TIMED_OUT,
     TOO_LARGE,
+    UNAVAILABLE,
     ClientGone,
     RequestHead,
     RequestRefused,
@@ -26,6 +27,7 @@
 MAX_CHUNK_LINE_BYTES = 4096
 MAX_TRAILER_BYTES = 16 * 1024
 LINGER_S = 1.0
+NO_ROOM_RETRY_AFTER_S = 0.5
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _HEAD_END = b"\r\n\r\n"
 
@@ -40,13 +42,34 @@
     idle_timeout_s: float
 
 
+class BodyRoom:
+    """Bounds the memory for the bodies of all requests that are under way."""
+
+    def __init__(self, bound_bytes: int) -> None:
+        self.bound_bytes = bound_bytes
+        self.taken_bytes = 0
+
+    def take(self, size: int) -> None:
+        """Raises RequestRefused where there is no room now."""
+        together = self.taken_bytes + size
+        if together > self.bound_bytes:
+            found, allowed = f"{together} bytes with those of other requests", f"{self.bound_bytes} bytes"
+            raise RequestRefused(UNAVAILABLE, "body", found, allowed, NO_ROOM_RETRY_AFTER_S)
+        self.taken_bytes = together
+
+    def give_back(self, size: int) -> None:
+        self.taken_bytes -= size
+
+
 class ClientConnection:
     """Owned by the greenlet that serves it; `wakeup` is where that greenlet waits."""
 
-    def __init__(self, sock: socket.socket, deadlines: DeadlineHeap) -> None:
+    def __init__(self, sock: socket.socket, deadlines: DeadlineHeap, room: BodyRoom) -> None:
         self.wakeup = Wakeup()
         self.answer_until = 0.0  # when the answer has to be written at the latest
         self._deadlines = deadlines
+        self._room = room
+        self._body_bytes = 0  # taken of the room
         self._socket = WatchedSocket(sock, RECEIVED_BOUND, self.wakeup.notify)
         self._expired = False
 
@@ -76,8 +99,14 @@
             self.write(_CONTINUE, time.monotonic() + limits.idle_timeout_s)
         if head.chunked:
             return self._read_chunks(limits)
+        self._take_room(head.content_length)
         return self._read_exactly(head.content_length, limits)
 
+    def release_body(self) -> None:
+        """The request is over, and so is the need for its body."""
+        self._room.give_back(self._body_bytes)
+        self._body_bytes = 0
+
     def write(self, data: bytes | bytearray, until: float) -> None:
         """Sends all of `data`; raises ClientGone, or TimeoutError once `until` has passed."""
         try:
@@ -155,12 +184,17 @@
         while size := parse_chunk_size(self._read_line(MAX_CHUNK_LINE_BYTES, limits)):
             if len(body) + size > limits.max_body_bytes:
                 raise RequestRefused(TOO_LARGE, "body", "more", f"{limits.max_body_bytes} bytes")
+            self._take_room(size)
             body += self._read_exactly(size, limits)
             if self._read_exactly(2, limits) != b"\r\n":
                 raise RequestRefused(BAD_REQUEST, "chunk", "more bytes than its size", "a line end behind it")
         self._skip_trailers(limits)
         return bytes(body)
 
+    def _take_room(self, size: int) -> None:
+        self._room.take(size)
+        self._body_bytes += size
+
     def _skip_trailers(self, limits: ReadLimits) -> None:
         room = MAX_TRAILER_BYTES
         while line := self._read_line(room, limits):
--- a/ochrespan/data_plane/connection_pool.py
+++ b/ochrespan/data_plane/connection_pool.py
@@ -18,8 +18,8 @@
 KEEP_ALIVE_MARGIN_S = 0.8  # an idle connection is closed this much before the server would do it
 SHORT_KEEP_ALIVE_SHARE = 0.5  # of a time-out that leaves no room for the margin
 FRESH_S = 1.0  # rest after which an unsafe request takes a new connection, where the server tells no time-out
-USER_TIMEOUT_MS = 6000  # unacknowledged data ends a connection after this long
-KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_PROBES = 2, 2, 2
+USER_TIMEOUT_MS = 3000  # unacknowledged data ends a connection after this long
+KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_PROBES = 1, 1, 2
 
 
 class ServerConnection:
--- a/ochrespan/data_plane/ingress.py
+++ b/ochrespan/data_plane/ingress.py
@@ -19,10 +19,9 @@
 from collections import OrderedDict
 from typing import Any
 
-import gevent
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
-from .client_connection import ClientConnection
+from .client_connection import BodyRoom, ClientConnection
 from .deadlines import DeadlineHeap
 from .exchange import AnswerBroken
 from .front import CONNECTION_KEY, HEAD_KEY, Front
@@ -51,7 +50,7 @@
     def __init__(self, sock: Any, address: Any, server: IngressServer) -> None:
         raw = socket.socket(fileno=sock.detach())
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.connection = ClientConnection(raw, server.deadlines)
+        self.connection = ClientConnection(raw, server.deadlines, server.body_room)
         self.socket = self.connection
         self.client_address = address
         self.server = server
@@ -86,6 +85,8 @@
             return False
         except (ClientGone, TimeoutError):
             return False
+        finally:
+            connection.release_body()
 
     def _take_head(self, head: RequestHead) -> None:
         """What the library's own reading would have set."""
@@ -171,7 +172,7 @@
 
     def _refuse(self, refused: RequestRefused) -> None:
         """Answers a request that could not be read, and closes: what follows it could be anything."""
-        self._answer(OwnAnswer(refused.status, str(refused)))
+        self._answer(OwnAnswer(refused.status, str(refused), retry_after=refused.retry_after))
         self.connection.linger_and_close()
 
     def _answer(self, answer: OwnAnswer) -> None:
@@ -188,12 +189,15 @@
 
     handler_class = IngressHandler
 
-    def __init__(self, listener: Any, front: Front, deadlines: DeadlineHeap, max_connections: int) -> None:
+    def __init__(
+        self, listener: Any, front: Front, deadlines: DeadlineHeap, max_connections: int, max_body_bytes: int
+    ) -> None:
         environment = {"SERVER_NAME": "router"}  # else the library would look the name up
         super().__init__(listener, front, log=None, error_log=None, environ=environment, backlog=BACKLOG)
         self.front = front
         self.deadlines = deadlines
         self.max_connections = max_connections
+        self.body_room = BodyRoom(max_body_bytes)
         self.draining = False
         self._resting: OrderedDict[ClientConnection, None] = OrderedDict()  # longest first
         self._open: set[ClientConnection] = set()
@@ -242,8 +246,3 @@
     def _end_resting(self, connection: ClientConnection) -> None:
         self._resting.pop(connection, None)
         connection.end()
-
-
-def listen(address: tuple[str, int]) -> Any:
-    """A listening socket that a restarted process can open at once."""
-    return gevent.server.StreamServer.get_listener(address, backlog=BACKLOG)
--- a/ochrespan/data_plane/request_head.py
+++ b/ochrespan/data_plane/request_head.py
@@ -12,15 +12,16 @@
 _CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,15}")
 
 BAD_REQUEST, TIMED_OUT, TOO_LARGE, EXPECTATION_FAILED = 400, 408, 413, 417
-HEAD_TOO_LARGE, VERSION_NOT_SUPPORTED = 431, 505
+HEAD_TOO_LARGE, UNAVAILABLE, VERSION_NOT_SUPPORTED = 431, 503, 505
 
 
 class RequestRefused(ValueError):
-    """A request that cannot be read: the status of the answer, where the fault lies, what was found and is allowed."""
+    """A request that is not read: the status of the answer, where the fault lies, what was found and is allowed."""
 
-    def __init__(self, status: int, where: str, found: str, allowed: str) -> None:
+    def __init__(self, status: int, where: str, found: str, allowed: str, retry_after: float | None = None) -> None:
         super().__init__(f"{where}: found {found}, allowed {allowed}")
         self.status, self.where, self.found, self.allowed = status, where, found, allowed
+        self.retry_after = retry_after
 
 
 class ClientGone(ConnectionError):
--- a/ochrespan/data_plane/router_node.py
+++ b/ochrespan/data_plane/router_node.py
@@ -29,6 +29,7 @@
 
 KEPT_DESCRIPTORS = 264  # of the limit: files, listening sockets, the feed
 CLIENT_SHARE = 0.5  # of the other descriptors; the rest is for connections to servers
+BODY_SHARE = 0.2  # of the memory, for the bodies of requests
 DRAINING = "draining"
 
 
@@ -46,6 +47,24 @@
         return cls(min(2.5, 0.4 * give_up), give_up)
 
 
+@dataclass(frozen=True)
+class MachineLimits:
+    """What the machine grants this process."""
+
+    descriptors: int = 1024
+    memory_bytes: int = 256 * 1024 * 1024
+
+    @property
+    def client_connections(self) -> int:
+        """The most connections of clients."""
+        return max(16, int((self.descriptors - KEPT_DESCRIPTORS) * CLIENT_SHARE))
+
+    @property
+    def body_bytes(self) -> int:
+        """The most memory for the bodies of requests."""
+        return int(self.memory_bytes * BODY_SHARE)
+
+
 class RouterNode:
     """Serves clients by the latest table that it was told of."""
 
@@ -53,7 +72,7 @@
         self,
         front: Address,
         ready: Address,
-        max_descriptors: int,
+        limits: MachineLimits,
         scheduler: SchedulerLike,
         quotas: Quotas | None = None,
         table_is_fresh: Callable[[], bool] = lambda: True,
@@ -62,8 +81,7 @@
         self._dispatcher = Dispatcher(scheduler, deadlines)
         self._pools = ServerPools(deadlines)
         self._front = Front(ExchangeTools(self._dispatcher, self._pools, deadlines), table_is_fresh, quotas)
-        max_clients = max(16, int((max_descriptors - KEPT_DESCRIPTORS) * CLIENT_SHARE))
-        self.ingress = IngressServer(front, self._front, deadlines, max_clients)
+        self.ingress = IngressServer(front, self._front, deadlines, limits.client_connections, limits.body_bytes)
         self._readiness = ReadinessServer(ready, self.is_ready)
         self._stopping = False
 
--- a/ochrespan/programs/router.py
+++ b/ochrespan/programs/router.py
@@ -16,7 +16,7 @@
 from ..control_plane.fleet_table import FleetChange, FleetTable
 from ..control_plane.peer_addresses import seed_peer_addresses
 from ..control_plane.router_quota import configure_quotas, quota_client_for
-from ..data_plane.router_node import DrainTimes, RouterNode
+from ..data_plane.router_node import DrainTimes, MachineLimits, RouterNode
 from ..data_plane.scheduler import Scheduler
 from ..transport.tcp import parse_address
 from .settings import Settings, SettingsFile, bound, settings_path
@@ -25,7 +25,8 @@
 
 EXIT_BAD_SETTINGS = 78
 DEFAULT_GRACE_S = 8.0
-DEFAULT_MAX_DESCRIPTORS = 1024
+DEFAULT_MEMORY_MB = 256
+BYTES_PER_MB = 1_000_000
 
 
 class Router:
@@ -40,7 +41,11 @@
             bound(settings, "budget_window_s", 10),
         )
         listen = settings["listen"]
-        max_descriptors = settings.get("limits", {}).get("max_fds", DEFAULT_MAX_DESCRIPTORS)
+        limits = settings.get("limits", {})
+        granted = MachineLimits(
+            limits.get("max_fds", MachineLimits.descriptors),
+            int(limits.get("memory_mb", DEFAULT_MEMORY_MB) * BYTES_PER_MB),
+        )
         self._settings = settings
         self._feed = FeedClient(
             settings["node"], settings["zone"], seed_peer_addresses(settings), self._table_changed
@@ -49,7 +54,7 @@
         self._node = RouterNode(
             parse_address(listen["front"]),
             parse_address(listen["ready"]),
-            max_descriptors,
+            granted,
             scheduler,
             self._quotas,
             table_is_fresh=lambda: self._feed.controller is not None,
--- a/tests/fleet_standins.py
+++ b/tests/fleet_standins.py
@@ -298,12 +298,14 @@
 
 
 @contextmanager
-def router(scheduler: Any = None, max_connections: int = 100, quotas: Any = None) -> Iterator[Router]:
+def router(
+    scheduler: Any = None, max_connections: int = 100, quotas: Any = None, max_body_bytes: int = 10_000_000
+) -> Iterator[Router]:
     deadlines = DeadlineHeap(gevent.get_hub().loop)
     scheduler = scheduler or PlainScheduler()
     dispatcher, pools = Dispatcher(scheduler, deadlines), ServerPools(deadlines)
     front = Front(ExchangeTools(dispatcher, pools, deadlines), lambda: made.fresh, quotas)
-    server = IngressServer(("127.0.0.1", 0), front, deadlines, max_connections)
+    server = IngressServer(("127.0.0.1", 0), front, deadlines, max_connections, max_body_bytes)
     made = Router(scheduler, front, server, pools, dispatcher)
     server.start()
     try:
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -327,6 +327,27 @@
         assert second.read_answer().status == 200
 
 
+@pytest.mark.parametrize(
+    "start",
+    [b"Content-Length: 900\r\n\r\n", b"Transfer-Encoding: chunked\r\n\r\n384\r\n"],
+)
+def test_bodies_share_a_bounded_memory(start):
+    server = StandInServer(hold)
+    with router(max_body_bytes=1500) as made:
+        made.use(configuration(route()), server)
+        first, second = made.client(), made.client()
+        first.ask(body=b"x" * 900)
+        assert server.arrived.wait(5)
+        second.send(START.encode() + start)
+        got = second.read_answer()
+        assert got.status == 503 and float(got.value("Retry-After")) > 0
+        assert second.is_closed()
+        first.close()
+        assert server.peer_gone.wait(5)
+        wait_for_no_connections(made)
+        assert made.server.body_room.taken_bytes == 0
+
+
 def wait_for_no_connections(made, but: int = 0) -> None:
     with gevent.Timeout(5):
         while made.server.open_connections > but:
