--- a/ochrespan/programs/router.py
+++ b/ochrespan/programs/router.py
@@ -10,7 +10,7 @@
 import gevent
 from gevent.event import Event
 
-from ..control_plane.checking import CheckFailed
+from ..control_plane.checking import CheckFailed, Finding
 from ..control_plane.control_service import Peers
 from ..control_plane.feed_client import FeedClient
 from ..control_plane.fleet_table import FleetChange, FleetTable
@@ -18,7 +18,7 @@
 from ..control_plane.router_quota import configure_quotas, quota_client_for
 from ..data_plane.router_node import DrainTimes, MachineLimits, RouterNode
 from ..data_plane.scheduler import Scheduler
-from ..transport.tcp import parse_address
+from ..transport.tcp import Address, parse_address
 from .settings import Settings, SettingsFile, bound, settings_path
 
 log = logging.getLogger(__name__)
@@ -29,6 +29,13 @@
 BYTES_PER_MB = 1_000_000
 
 
+def listen_address(settings: Settings, name: str) -> Address:
+    """Where the router listens for clients (`front`) or for the platform (`ready`); raises CheckFailed."""
+    if name not in settings["listen"]:
+        raise CheckFailed([Finding(f"listen.{name}", "nothing", "IP:PORT")])
+    return parse_address(settings["listen"][name])
+
+
 class Router:
     """The parts of one router process."""
 
@@ -40,7 +47,6 @@
             bound(settings, "budget_slack", 0),
             bound(settings, "budget_window_s", 10),
         )
-        listen = settings["listen"]
         limits = settings.get("limits", {})
         granted = MachineLimits(
             limits.get("max_fds", MachineLimits.descriptors),
@@ -52,8 +58,8 @@
         )
         self._quotas = quota_client_for(settings["node"], settings.get("bounds", {}), self._feed, Peers())
         self._node = RouterNode(
-            parse_address(listen["front"]),
-            parse_address(listen["ready"]),
+            listen_address(settings, "front"),
+            listen_address(settings, "ready"),
             granted,
             scheduler,
             self._quotas,
@@ -95,12 +101,12 @@
 
     try:
         settings_file = SettingsFile(settings_path(), settings_changed)
+        router = Router(settings_file.current)
     except CheckFailed as error:
         for finding in error.findings:
             log.error("settings refused where=%r found=%r allowed=%r", finding.where, finding.found, finding.allowed)
         return EXIT_BAD_SETTINGS
     gevent.signal_handler(signal.SIGHUP, settings_file.reload)
-    router = Router(settings_file.current)
     router.start()
     gevent.spawn(settings_file.watch)
     ended.wait()
--- a/tests/test_router_process.py
+++ b/tests/test_router_process.py
@@ -201,7 +201,12 @@
     assert router.exit_code() == 0
 
 
-def test_settings_that_cannot_be_used_are_told_with_place_found_and_allowed(start):
-    router = start(zone=7, listen={"front": "nowhere"})
+@pytest.mark.parametrize(
+    ("other", "place"),
+    [({"zone": 7}, "zone"), ({"listen": {"front": "nowhere"}}, "listen.front"), ({"listen": {}}, "listen.front")],
+)
+def test_settings_that_cannot_be_used_are_told_with_place_found_and_allowed(start, other, place):
+    router = start(**other)
     assert router.exit_code() == 78
-    assert any("zone" in line and "found" in line and "allowed" in line for line in router.lines)
+    router.wait_for(place)
+    assert any(place in line and "found" in line and "allowed" in line for line in router.lines)
