Router's end: what was read is answered, and what was not sent is refused before the grace is over

A drain closed connections that counted as resting while a request had arrived on them but its greenlet had not run, and a request that still waited at the end was cut without an answer, though it had been read. Both are answered now: connections with bytes on them are served first, and unsent requests get 503 at nine tenths of the time. A stream on a safe route is no longer taken up elsewhere once it has begun, and heads may be as long as the configuration says; each has a test that failed before.

--- a/ochrespan/data_plane/client_connection.py
+++ b/ochrespan/data_plane/client_connection.py
@@ -82,9 +82,15 @@
     def closed(self) -> bool:
         return self._socket.closed
 
+    @property
+    def has_received(self) -> bool:
+        """Whether bytes of a request have been read that it has not been served for."""
+        return bool(self._socket.received)
+
     def read_head(self, limits: ReadLimits) -> RequestHead | None:
         """The next request's head; None where the client has gone or sent nothing for the idle time-out."""
         received = self._socket.received
+        self._socket.bound = max(RECEIVED_BOUND, 2 * limits.max_header_bytes)
         if not self._wait_until(lambda: received, time.monotonic() + limits.idle_timeout_s):
             return None
         return self._read_started_head(limits)
--- a/ochrespan/data_plane/dispatcher.py
+++ b/ochrespan/data_plane/dispatcher.py
@@ -28,6 +28,7 @@
     """Whoever waits for the scheduler's decisions about a request."""
 
     def decide(self, action: Action) -> None: ...
+    def refuse_unsent(self) -> None: ...
 
 
 class Dispatcher:
@@ -71,6 +72,11 @@
         if self._takers.pop(request_id, None) is not None:
             self.cancel(request_id)
 
+    def refuse_unsent(self) -> None:
+        """Gives up the requests that no server has been tried for."""
+        for taker in list(self._takers.values()):
+            taker.refuse_unsent()
+
     def _apply(self, now: float, actions: Iterable[Action]) -> None:
         for action in actions:
             if taker := self._takers.get(action.request_id):
--- a/ochrespan/data_plane/exchange.py
+++ b/ochrespan/data_plane/exchange.py
@@ -94,6 +94,11 @@
         self._decision = action
         self._client.wakeup.notify()
 
+    def refuse_unsent(self) -> None:
+        """Gives the request up if no server has been tried, since the router ends."""
+        if not self._was_sent and self._attempt is None and self._decision is None:
+            self.decide(Refuse(self._request.id, 503, FALLBACK_RETRY_AFTER_S))
+
     def _find_answer(self) -> Attempt | OwnAnswer:
         while True:
             decision = self._next_decision()
@@ -218,6 +223,8 @@
     def _resume(self, outcome: Outcome) -> Attempt:
         """The attempt that continues the stream; raises AnswerBroken where none does."""
         self._end_attempt(outcome)
+        if not self._request.resumable:
+            raise AnswerBroken(outcome.value)
         while True:
             decision = self._next_decision()
             if not isinstance(decision, Send):
--- a/ochrespan/data_plane/ingress.py
+++ b/ochrespan/data_plane/ingress.py
@@ -207,8 +207,9 @@
         return len(self._open)
 
     @property
-    def busy_connections(self) -> int:
-        return len(self._open) - len(self._resting)
+    def connections_with_unserved_bytes(self) -> int:
+        """The number of resting connections on which a request has begun to arrive."""
+        return sum(connection.has_received for connection in self._resting)
 
     @property
     def keep_alive_value(self) -> bytes:
@@ -218,11 +219,11 @@
         self._open.add(connection)
         self._resting[connection] = None
         if len(self._open) > self.max_connections:
-            self._end_resting(next(iter(self._resting)))
+            self._end_resting(next((each for each in self._resting if not each.has_received), connection))
 
     def connection_rests(self, connection: ClientConnection) -> None:
         self._resting[connection] = None
-        if self.draining:
+        if self.draining and not connection.has_received:
             self._end_resting(connection)
 
     def connection_busy(self, connection: ClientConnection) -> None:
@@ -236,7 +237,8 @@
         """Answers carry `Connection: close` from now on, and connections that rest are closed."""
         self.draining = True
         for connection in list(self._resting):
-            self._end_resting(connection)
+            if not connection.has_received:  # what has been read has to be answered
+                self._end_resting(connection)
 
     def break_off(self) -> None:
         """Closes all connections, whatever they carry."""
--- a/ochrespan/data_plane/router_node.py
+++ b/ochrespan/data_plane/router_node.py
@@ -31,6 +31,7 @@
 CLIENT_SHARE = 0.5  # of the other descriptors; the rest is for connections to servers
 BODY_SHARE = 0.2  # of the memory, for the bodies of requests
 DRAINING = "draining"
+CLIENT_CHECK_INTERVAL_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,13 +39,14 @@
     """Seconds from SIGTERM."""
 
     serve_on: float  # the platform sends new connections until it has missed the readiness twice
+    refuse: float  # what has not been sent to a server is refused
     give_up: float  # what still runs is broken off
 
     @classmethod
     def within(cls, grace_s: float) -> DrainTimes:
         """Times that leave room to end before the platform kills the process."""
         give_up = grace_s - min(0.7, 0.2 * grace_s)
-        return cls(min(2.5, 0.4 * give_up), give_up)
+        return cls(min(2.5, 0.4 * give_up), 0.9 * give_up, give_up)
 
 
 @dataclass(frozen=True)
@@ -113,14 +115,19 @@
         gevent.sleep(times.serve_on)
         self.ingress.drain()
         self.ingress.close()
-        while self.ingress.open_connections and time.monotonic() < started + times.give_up:
-            gevent.sleep(0.05)
+        self._wait_for_clients(started + times.refuse)
+        self._dispatcher.refuse_unsent()
+        self._wait_for_clients(started + times.give_up)
         log.info("stopped requests=%d connections=%d", self._dispatcher.running, self.ingress.open_connections)
         self.ingress.break_off()
         self._pools.close()
         gevent.sleep(0)  # requests that were broken off tell their servers
         self._readiness.close()
 
+    def _wait_for_clients(self, until: float) -> None:
+        while self.ingress.open_connections and time.monotonic() < until:
+            gevent.sleep(CLIENT_CHECK_INTERVAL_S)
+
 
 def list_servers(table: FleetTable) -> list[Server]:
     """All servers of the table as the scheduler knows them."""
--- a/ochrespan/data_plane/watched_socket.py
+++ b/ochrespan/data_plane/watched_socket.py
@@ -25,12 +25,12 @@
     or the connection has failed.
     """
 
-    __slots__ = ("_sock", "_loop", "_reader", "_writer", "_bound", "_paused", "received", "ended", "failed", "on_event")
+    __slots__ = ("_sock", "_loop", "_reader", "_writer", "_paused", "bound", "received", "ended", "failed", "on_event")
 
     def __init__(self, sock: socket.socket, received_bound: int, on_event: Callable[[], None] = ignore_event) -> None:
         self._sock = sock
         self._loop = gevent.get_hub().loop
-        self._bound = received_bound
+        self.bound = received_bound
         self._paused = False
         self._writer = None
         self.received = bytearray()
@@ -53,7 +53,7 @@
 
     def resume(self) -> None:
         """Reads on if reading has paused and there is room again."""
-        if self._paused and len(self.received) < self._bound and self._reader is not None:
+        if self._paused and len(self.received) < self.bound and self._reader is not None:
             self._paused = False
             self._reader.start(self._readable)
 
@@ -121,7 +121,7 @@
             self.failed = True
         if data:
             self.received += data
-            if len(self.received) >= self._bound:
+            if len(self.received) >= self.bound:
                 self._paused = True
                 self._reader.stop()
         else:
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -327,6 +327,35 @@
         assert second.read_answer().status == 200
 
 
+def test_a_drain_refuses_nothing_that_was_read_and_closes_what_rests(made, server):
+    made.scheduler.holds = True
+    waiting, resting, begun = made.client(), made.client(), made.client()
+    waiting.ask()
+    assert made.scheduler.submit_seen.wait(5)
+    begun.send(request_bytes(id="q2")[:20])
+    with gevent.Timeout(5):
+        while made.server.open_connections < 3 or not made.server.connections_with_unserved_bytes:
+            gevent.idle()
+    made.server.drain()
+    assert resting.is_closed()
+    made.dispatcher.refuse_unsent()
+    got = waiting.read_answer()
+    assert (got.status, got.value("Connection")) == (503, "close") and float(got.value("Retry-After")) > 0
+    assert waiting.is_closed() and made.scheduler.cancelled
+    made.scheduler.holds = False
+    begun.send(request_bytes(id="q2")[20:])
+    got = begun.read_answer()
+    assert (got.status, got.value("Connection")) == (200, "close")
+    assert begun.is_closed()
+
+
+def test_a_head_may_be_as_long_as_the_configuration_says(made, server):
+    made.use(configuration(route(), max_header_bytes=400_000), server)
+    client = made.client()
+    client.send(START.encode() + b"X-A: " + b"b" * 390_000 + b"\r\n\r\n")
+    assert client.read_answer().status == 200
+
+
 @pytest.mark.parametrize(
     "start",
     [b"Content-Length: 900\r\n\r\n", b"Transfer-Encoding: chunked\r\n\r\n384\r\n"],
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -82,6 +82,17 @@
         assert not second.requests and not made.dispatcher.running
 
 
+def test_a_stream_on_a_safe_route_is_not_taken_up_once_it_has_begun():
+    first, second = StandInServer(stream(1, 2, end=reset)), StandInServer(stream(1, 2, 3))
+    with router() as made:
+        made.use(configuration(route(kind="safe")), first, second)
+        client = made.client()
+        client.ask()
+        got = client.read_answer()
+        assert got.body == event(1) + event(2) and not got.whole
+        assert not second.requests and not made.dispatcher.running
+
+
 def test_a_stream_that_breaks_before_its_first_event_starts_anew_elsewhere():
     first = StandInServer(stream(end=reset, stamp="first"))
     second = StandInServer(stream(1, 2, stamp="second"))
