Contracts: admission split into coverage, funding, grants and the tree of levels

admission.py did five jobs in 437 lines: finding the contract, judging it, fitting attempts under bounds, holding and settling, and putting a new book in force. Decisions and tests are unchanged.

--- /dev/null
+++ b/ochrespan/contracts/coverage.py
@@ -0,0 +1,52 @@
+"""Under which contract a request comes, and whether that contract covers it. Budgets are not looked at here."""
+
+from __future__ import annotations
+
+from .grants import Demand, NotCovered
+from .terms import Book, Contract, digest
+
+
+def identify(book: Book, demand: Demand) -> Contract | NotCovered:
+    """The contract that a request comes under. A wrong token is told nothing of what others own."""
+    owner = book.by_volume.get(demand.volume) if demand.volume else None
+    if demand.bucket:
+        owner = book.by_bucket.get(demand.bucket)
+        if owner is None:
+            return NotCovered("bucket", words="no contract names this bucket")
+    contract = _holder(book, demand.token, owner)
+    if isinstance(contract, NotCovered):
+        return contract
+    owns = owner is not None and (contract.path == owner or contract.path.startswith(owner + "/"))
+    if not owns and (owner is not None or contract.volumes):
+        what = "bucket" if demand.bucket else "volume"
+        return NotCovered(what, contract.path, f"this {what} is not the contract's own")
+    return contract
+
+
+def _holder(book: Book, token: str, owner: str | None) -> Contract | NotCovered:
+    """Whose request it is: the token's contract, or without one the owner's, where that needs no token."""
+    if token:
+        return book.by_token.get(digest(token)) or NotCovered("token", words="no contract has this token")
+    if owner is None:
+        return NotCovered("contract", words="no token, and no contract owns this volume")
+    contract = book.contracts.get(owner)
+    if contract is None or contract.tokens:
+        return NotCovered("token", words="this needs its contract's token")
+    return contract
+
+
+def check(contract: Contract, demand: Demand, now: float) -> NotCovered | None:
+    """Why the contract does not cover the request at that moment (Unix time in seconds); None: it does."""
+    if contract.withdrawn:
+        return NotCovered("withdrawn", contract.path, "the contract was withdrawn")
+    if now < contract.begins:
+        return NotCovered("not-begun", contract.path, "the contract has not begun")
+    if now >= contract.ends:
+        return NotCovered("ended", contract.path, "the contract has ended")
+    if demand.plan and demand.plan != contract.plan:
+        return NotCovered("plan", contract.path, f"the contract's plan is {contract.plan}")
+    if demand.cls in contract.withdrawn_classes:
+        return NotCovered("class", contract.path, f"class {demand.cls} was withdrawn from the contract")
+    if demand.cls not in contract.classes:
+        return NotCovered("class", contract.path, f"the contract does not cover class {demand.cls}")
+    return None
--- a/ochrespan/contracts/gate.py
+++ b/ochrespan/contracts/gate.py
@@ -107,7 +107,7 @@
             if contract.parts == "heard" and rate is not None:
                 self._parts[path] = part = was.get(path) or Part(rate, 1)
                 part.rate, part.fronts = rate, max(1, contract.fronts or book.fronts)
-        self.admission.scale = {path: part.scale for path, part in self._parts.items()}
+        self.admission.set_scales({path: part.scale for path, part in self._parts.items()})
 
     def step(self) -> None:
         """Lets the parts move."""
