HTTP/2: connection and server split by concern, names of the field's standard terms

connection.py (449 lines) and protocol.py (320) mixed h2's peculiarities, events, stream states, flow control, the socket and the port. Tests changed in names only.

--- a/ochrespan/http2/stream.py
+++ b/ochrespan/http2/exchange.py
@@ -1,9 +1,10 @@
-"""A stream of HTTP/2 as the fronts' exchange."""
+"""A stream of HTTP/2 as the fronts' exchange: one request and its answer."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Mapping
+from http import HTTPStatus
 from typing import Protocol
 
 from h2.errors import ErrorCodes
@@ -11,21 +12,25 @@
 
 from ..exchange import BadBody, Exchange, Reply
 from ..net.guard import REQUEST_TIME
-from .connection import Begun, Body
+from .events import BodyReceived, RequestStarted
 
-FORBIDDEN = frozenset({"connection", "keep-alive", "proxy-connection", "transfer-encoding", "upgrade"})
+CONNECTION_FIELDS = frozenset({"connection", "keep-alive", "proxy-connection", "transfer-encoding", "upgrade"})
 
 
-class Carrier(Protocol):
-    """The connection, as a stream of it needs it."""
+class StreamWriter(Protocol):
+    """The connection, as one stream of it needs it."""
 
-    def take(self, stream: int, credit: int) -> None: ...
+    def consume(self, stream: int, credit: int) -> None:
+        """So much of the request's body has been read."""
 
-    def inform(self, stream: int, status: int) -> None: ...
+    def send_interim(self, stream: int, status: int) -> None:
+        """An interim answer (1xx)."""
 
-    def head(self, stream: int, status: int, fields: list[tuple[str, str]], ended: bool) -> None: ...
+    def send_head(self, stream: int, status: int, fields: list[tuple[str, str]], ended: bool) -> None:
+        """An answer's head; `ended`: no body follows."""
 
-    def reset(self, stream: int, code: int) -> None: ...
+    def reset(self, stream: int, code: int) -> None:
+        """Ends the stream without the rest of its answer."""
 
     async def write(self, stream: int, data: bytes, ended: bool) -> None:
         """Waits while the stream holds as much as it may."""
@@ -34,25 +39,27 @@
 class Http2Exchange(Exchange):
     """One stream."""
 
-    def __init__(self, connection: Carrier, begun: Begun, most_body: int | None) -> None:
-        self.method, self.target = begun.method, begun.target
-        self.headers = CIMultiDict(begun.fields)
-        self.has_body, self.has_length = not begun.ended, True  # the stream's end tells it
-        self.stream, self._connection, self._most_body = begun.stream, connection, most_body
-        self._parts: list[Body] = []
-        self._ended = begun.ended
-        self._news = asyncio.Event()
+    def __init__(self, connection: StreamWriter, request: RequestStarted, most_body: int | None) -> None:
+        self.method, self.target = request.method, request.target
+        self.headers = CIMultiDict(request.fields)
+        self.has_body, self.has_length = not request.ended, True  # the stream's end tells it
+        self.stream, self._connection, self._most_body = request.stream, connection, most_body
+        self._parts: list[BodyReceived] = []
+        self._ended = request.ended
+        self._arrived = asyncio.Event()
         self.started = self.finished = False
 
     # ---- the connection's side ----
 
-    def body(self, part: Body) -> None:
+    def add_body(self, part: BodyReceived) -> None:
+        """Further bytes of the request's body."""
         self._parts.append(part)
-        self._news.set()
+        self._arrived.set()
 
     def end_body(self) -> None:
+        """The request's body is whole."""
         self._ended = True
-        self._news.set()
+        self._arrived.set()
 
     # ---- the front's side ----
 
@@ -64,14 +71,14 @@
         while True:
             if self._parts:
                 part = self._parts.pop(0)
-                self._connection.take(self.stream, part.credit)
+                self._connection.consume(self.stream, part.credit)
                 if not part.data:
                     continue
                 return part.data
             if self._ended:
                 return b""
-            self._news.clear()
-            await self._news.wait()
+            self._arrived.clear()
+            await self._arrived.wait()
 
     async def read(self) -> bytes:
         """The whole body, in the time and up to the size that a request has on any wire."""
@@ -81,21 +88,21 @@
                 while some := await self.read_some():
                     size += len(some)
                     if self._most_body is not None and size > self._most_body:
-                        raise BadBody(413, "the request's body is too long")
+                        raise BadBody(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the request's body is too long")
                     parts.append(some)
         except TimeoutError:
-            raise BadBody(408, "the request's body did not come in time") from None
+            raise BadBody(HTTPStatus.REQUEST_TIMEOUT, "the request's body did not come in time") from None
         return b"".join(parts)
 
     async def go_on(self) -> None:
-        self._connection.inform(self.stream, 100)
+        self._connection.send_interim(self.stream, HTTPStatus.CONTINUE)
 
     async def start(self, status: int, headers: Mapping[str, str], length: int, close: bool = False) -> None:
         self.started = True
         fields = _fields(headers) + [("content-length", str(length))]
-        ended = self.method == "HEAD" or status == 304
+        ended = self.method == "HEAD" or status == HTTPStatus.NOT_MODIFIED
         self.finished = ended
-        self._connection.head(self.stream, status, fields, ended)
+        self._connection.send_head(self.stream, status, fields, ended)
 
     async def write(self, data: bytes) -> None:
         await self._connection.write(self.stream, data, ended=False)
@@ -110,19 +117,19 @@
         self._connection.reset(self.stream, ErrorCodes.INTERNAL_ERROR)
 
     async def send(self, reply: Reply) -> None:
-        """A whole answer, unless one has begun."""
+        """A whole answer, unless one has request."""
         if self.started or self.finished:
             return
         self.started = self.finished = True
-        bare = self.method == "HEAD" or reply.status in (204, 304)
+        bare = self.method == "HEAD" or reply.status in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
         fields = _fields(reply.headers)
         if not bare:
             fields.append(("content-length", str(len(reply.body))))
         ended = bare or not reply.body
-        self._connection.head(self.stream, reply.status, fields, ended)
+        self._connection.send_head(self.stream, reply.status, fields, ended)
         if not ended:
             await self._connection.write(self.stream, reply.body, ended=True)
 
 
 def _fields(headers: Mapping[str, str]) -> list[tuple[str, str]]:
-    return [(name.lower(), value) for name, value in headers.items() if name.lower() not in FORBIDDEN]
+    return [(name.lower(), value) for name, value in headers.items() if name.lower() not in CONNECTION_FIELDS]
--- a/ochrespan/http2/scheduling.py
+++ b/ochrespan/http2/scheduling.py
@@ -2,7 +2,8 @@
 
 Streams are given out frame by frame. Lower urgencies go first; within one, streams that are not incremental go one
 after the other in the order of their ids, and the incremental ones take turns with them and each other. One frame of
-`OTHERS` goes to a less urgent level, the next one each time, so that a long urgent answer holds up no other for good.
+`LOWER_LEVEL_EVERY` goes to a less urgent level, the next one each time, so that a long urgent answer holds up no other
+for good.
 """
 
 from __future__ import annotations
@@ -11,9 +12,11 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-LEVELS = 8
-DEFAULT = 3
-OTHERS = 8
+URGENCY_LEVELS = 8  # 0 is the most urgent
+DEFAULT_URGENCY = 3
+LOWER_LEVEL_EVERY = 8  # frames: one of so many goes to a less urgent level
+URGENT_AIM, ORDINARY_AIM = 0.2, 0.6  # s: aims up to which a class is urgent, or ordinary
+URGENT, PATIENT = 2, 5  # urgencies of classes below the one aim and above the other
 
 URGENCY = re.compile(r"(?:^|,)\s*u=(-?[0-9]+)\s*(?:;[^,]*)?(?=,|$)")
 INCREMENTAL = re.compile(r"(?:^|,)\s*i(?:=\?([01]))?\s*(?:;[^,]*)?(?=,|$)")
@@ -21,14 +24,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Priority:
-    urgency: int = DEFAULT
+    """How one stream is served beside others."""
+
+    urgency: int = DEFAULT_URGENCY
     incremental: bool = False
 
 
 def read_priority(value: str, default: Priority) -> Priority:
     """The `priority` field (RFC 9218, section 4): what is out of range or cannot be read is left out."""
     urgency, incremental = default.urgency, default.incremental
-    if (found := URGENCY.findall(value)) and 0 <= int(found[-1][:4]) < LEVELS:
+    if (found := URGENCY.findall(value)) and 0 <= int(found[-1][:4]) < URGENCY_LEVELS:
         urgency = int(found[-1])
     if found := INCREMENTAL.findall(value):
         incremental = found[-1] != "0"
@@ -37,65 +42,71 @@
 
 def urgency_of(aim: float) -> int:
     """Where a client says nothing: what is wanted soon goes first. `aim`: seconds."""
-    return 2 if aim <= 0.2 else DEFAULT if aim <= 0.6 else 5
+    if aim <= URGENT_AIM:
+        return URGENT
+    return DEFAULT_URGENCY if aim <= ORDINARY_AIM else PATIENT
 
 
 @dataclass(slots=True)
 class _Level:
     """The streams of one urgency that have something to send."""
 
-    in_turn: list[int] = field(default_factory=list)  # not incremental, by id
-    around: deque[int] = field(default_factory=deque)
-    first: bool = True  # whether the sequential ones are next
+    sequential: list[int] = field(default_factory=list)  # not incremental, by id
+    incremental: deque[int] = field(default_factory=deque)  # served in rotation
+    sequential_next: bool = True  # whether a sequential stream goes before the next incremental one
 
     def __bool__(self) -> bool:
-        return bool(self.in_turn or self.around)
+        return bool(self.sequential or self.incremental)
 
     def next(self) -> int:
-        if not self.around or (self.in_turn and self.first):
-            self.first = False
-            return self.in_turn[0]
-        self.first = True
-        stream = self.around[0]
-        self.around.rotate(-1)
+        """The stream whose frame goes out next."""
+        if not self.incremental or (self.sequential and self.sequential_next):
+            self.sequential_next = False
+            return self.sequential[0]
+        self.sequential_next = True
+        stream = self.incremental[0]
+        self.incremental.rotate(-1)
         return stream
 
 
-class Turns:
+class FrameScheduler:
     """Streams that have bytes to send and may send them."""
 
     def __init__(self) -> None:
-        self._levels = [_Level() for _ in range(LEVELS)]
-        self._of: dict[int, Priority] = {}
-        self._count, self._other = 0, 0
+        self._levels = [_Level() for _ in range(URGENCY_LEVELS)]
+        self._priorities: dict[int, Priority] = {}
+        self._frames = 0  # given out so far
+        self._lower_frames = 0  # of them to less urgent levels
 
     def __len__(self) -> int:
-        return len(self._of)
+        return len(self._priorities)
 
     def add(self, stream: int, priority: Priority) -> None:
-        if self._of.get(stream) == priority:
+        """The stream has something to send; one that is there already with this priority keeps its turn."""
+        if self._priorities.get(stream) == priority:
             return
         self.remove(stream)
-        self._of[stream] = priority
+        self._priorities[stream] = priority
         level = self._levels[priority.urgency]
         if priority.incremental:
-            level.around.append(stream)
+            level.incremental.append(stream)
         else:
-            level.in_turn.append(stream)
-            level.in_turn.sort()
+            level.sequential.append(stream)
+            level.sequential.sort()
 
     def remove(self, stream: int) -> None:
-        if (priority := self._of.pop(stream, None)) is not None:
+        """The stream has nothing to send, or no window for it."""
+        if (priority := self._priorities.pop(stream, None)) is not None:
             level = self._levels[priority.urgency]
-            (level.around if priority.incremental else level.in_turn).remove(stream)
+            (level.incremental if priority.incremental else level.sequential).remove(stream)
 
     def next(self) -> int | None:
-        """The stream whose frame goes out now; it stays in the turn until it is removed."""
+        """The stream whose frame goes out now; it keeps its place until it is removed."""
         live = [level for level in self._levels if level]
         if not live:
             return None
-        self._count += 1
-        if len(live) > 1 and self._count % OTHERS == 0:
-            self._other += 1
-            return live[1 + self._other % (len(live) - 1)].next()
+        self._frames += 1
+        if len(live) > 1 and self._frames % LOWER_LEVEL_EVERY == 0:
+            self._lower_frames += 1
+            return live[1 + self._lower_frames % (len(live) - 1)].next()
         return live[0].next()
--- a/ochrespan/http2/section.py
+++ b/ochrespan/http2/section.py
@@ -17,6 +17,8 @@
 
 
 class Http2Table(Table):
+    """The table as it is written."""
+
     platform: str | None = None  # where the platform's requests are taken
     objects: str | None = None  # where the object API is
     streams: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 100
@@ -29,15 +31,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Http2:
+    """What the operator's file says of HTTP/2, checked."""
+
     listen: dict[str, tuple[str, int]]  # by the front that is served there
     limits: Limits
-    buffered: int
-    patience: timedelta
+    buffered: int  # bytes of bodies that all connections together may hold
+    stall_timeout: timedelta  # for a client that takes nothing of its answer
 
 
 def read(
     tables: Mapping[str, Any], settings: api.Settings, faults: Faults, earlier: Mapping[str, Any]
 ) -> Http2 | None:
+    """The checked section; None where the table cannot be read. Faults are collected in `faults`."""
     told = table(Http2Table, tables["http2"], "[http2]", faults)
     if told is None:
         return None
--- a/ochrespan/http2/start.py
+++ b/ochrespan/http2/start.py
@@ -4,18 +4,18 @@
 
 from ..net.platform import MOST_BODY
 from ..running import Core, Running
-from .limits import Store
-from .protocol import Http2Server
+from .limits import BufferBudget
 from .section import Http2
+from .server import Http2Server
 
 
 def start(section: Http2, core: Core) -> Running:
-    store, running = Store(section.buffered), Running()
+    buffers, running = BufferBudget(section.buffered), Running()
     aims = {cls.name: cls.aim for cls in core.told.settings.classes.values()}
     for name, address in section.listen.items():
         most_body = MOST_BODY if name == "platform" else None
         server = Http2Server(
-            core.handlers[name], most_body, core.lifecycle, section.limits, store, section.patience, aims)
+            core.handlers[name], most_body, core.lifecycle, section.limits, buffers, section.stall_timeout, aims)
         running.fronts.append((server, address))
         running.jobs.append(server.follow())
     return running
--- a/tests/http2_cases.py
+++ b/tests/http2_cases.py
@@ -14,8 +14,9 @@
 from h2.errors import ErrorCodes
 from hpack import Encoder
 
-from ochrespan.http2.connection import Begun, Connection
-from ochrespan.http2.limits import Limits, Store
+from ochrespan.http2.connection import Connection
+from ochrespan.http2.events import RequestStarted
+from ochrespan.http2.limits import BufferBudget, Limits
 
 PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 DATA, HEADERS, PRIORITY, RST, SETTINGS, PUSH, PING, GOAWAY, WINDOW, CONTINUATION = range(10)
@@ -256,7 +257,7 @@
 
 
 def connect(limits: Limits | None = None) -> Connection:
-    return Connection(limits or Limits(streams=4), Store(1 << 24), 0.0)
+    return Connection(limits or Limits(streams=4), BufferBudget(1 << 24), 0.0)
 
 
 def sent_frames(data: bytes) -> Iterator[tuple[int, int, bytes]]:
@@ -279,7 +280,7 @@
     for kind, stream, payload in sent_frames(connection.control_to_send()):
         if kind == RST and stream == case.stream:
             return f"stream {ErrorCodes(int.from_bytes(payload)).name}"
-    return "served" if any(isinstance(one, Begun) and one.stream == case.stream for one in told) else "ignored"
+    return "served" if any(isinstance(one, RequestStarted) and one.stream == case.stream for one in told) else "ignored"
 
 
 PAGE = Path(__file__).parent.parent / "docs" / "conformance" / "http2.md"
--- a/tests/test_http2_connection.py
+++ b/tests/test_http2_connection.py
@@ -9,9 +9,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from ochrespan.http2.connection import Begun, Body, BodyEnded, Connection, Gone, Over
-from ochrespan.http2.limits import ALLOWANCES, Conduct, Limits, Manners, Store
-from ochrespan.http2.scheduling import OTHERS, Priority, Turns, read_priority
+from ochrespan.http2.connection import Connection
+from ochrespan.http2.events import BodyEnded, BodyReceived, ConnectionEnded, RequestStarted, StreamAborted
+from ochrespan.http2.limits import ALLOWANCES, BufferBudget, Limits, PeerAction, PeerBudget
+from ochrespan.http2.scheduling import LOWER_LEVEL_EVERY, FrameScheduler, Priority, read_priority
 
 from .h2client import _H2 as ClientH2
 from .http2_cases import GET, PREFACE, frame
@@ -22,8 +23,8 @@
 class Pair:
     """A client of h2's own and the connection, with the bytes carried by hand."""
 
-    def __init__(self, limits: Limits = SMALL, store: Store | None = None, window: int = 65_535) -> None:
-        self.now, self.store = 0.0, store or Store(1 << 20)
+    def __init__(self, limits: Limits = SMALL, store: BufferBudget | None = None, window: int = 65_535) -> None:
+        self.now, self.store = 0.0, store or BufferBudget(1 << 20)
         self.server = Connection(limits, self.store, self.now)
         self.client = ClientH2(H2Configuration(client_side=True, header_encoding="utf-8"))
         self.client.local_settings = Settings(client=True, initial_values={SettingCodes.INITIAL_WINDOW_SIZE: window})
@@ -64,29 +65,29 @@
 
 
 def test_turns_are_by_urgency_then_in_order_or_around_and_nothing_starves():
-    turns = Turns()
+    scheduler = FrameScheduler()
     for stream, urgency, incremental in ((9, 3, False), (5, 3, False), (7, 3, True), (11, 3, True), (1, 6, False)):
-        turns.add(stream, Priority(urgency, incremental))
-    got = [turns.next() for _ in range(800)]
-    assert got.count(1) == 800 // OTHERS  # the one below
-    share = (800 - 800 // OTHERS) / 2
+        scheduler.add(stream, Priority(urgency, incremental))
+    got = [scheduler.next() for _ in range(800)]
+    assert got.count(1) == 800 // LOWER_LEVEL_EVERY  # the one below
+    share = (800 - 800 // LOWER_LEVEL_EVERY) / 2
     assert abs(got.count(5) - share) <= 1 and abs(got.count(7) - got.count(11)) <= 1 and got.count(9) == 0
-    turns.remove(5)
-    assert 9 in [turns.next() for _ in range(3)]
+    scheduler.remove(5)
+    assert 9 in [scheduler.next() for _ in range(3)]
     for stream in (7, 9, 11, 1):
-        turns.remove(stream)
-    assert turns.next() is None and len(turns) == 0
+        scheduler.remove(stream)
+    assert scheduler.next() is None and len(scheduler) == 0
 
 
 def test_an_urgent_answer_passes_a_long_one_and_a_closed_window_holds_up_only_its_own():
     pair = Pair(window=20_000)
     long, urgent = pair.ask(priority="u=5"), pair.ask(priority="u=0")
     for stream in (long, urgent):
-        pair.server.head(stream, 200, [], False)
-    pair.server.data(long, b"l" * 60_000, True)
+        pair.server.send_head(stream, 200, [], False)
+    pair.server.send_data(long, b"l" * 60_000, True)
     pair.carry()
     assert len(pair.came(long)) == 20_000  # its window
-    pair.server.data(urgent, b"u" * 10_000, True)
+    pair.server.send_data(urgent, b"u" * 10_000, True)
     pair.carry()
     assert pair.came(urgent) == b"u" * 10_000 and len(pair.came(long)) == 20_000
     pair.client.increment_flow_control_window(40_000, long)
@@ -103,14 +104,14 @@
     pair.client.send_data(stream, b"x" * 1000)
     pair.carry()
     assert pair.client.local_flow_control_window(stream) == 0 and pair.store.held == 1000
-    body = next(one for one in pair.told if isinstance(one, Body))
-    pair.server.take(stream, body.credit)
+    body = next(one for one in pair.told if isinstance(one, BodyReceived))
+    pair.server.consume(stream, body.credit)
     pair.carry()
     assert pair.client.local_flow_control_window(stream) == 1000 and pair.store.held == 0
 
 
 def test_over_the_cap_of_all_connections_credit_is_held_back_until_there_is_room():
-    store = Store(1500)
+    store = BufferBudget(1500)
     one, two = Pair(store=store), Pair(store=store)
     streams = []
     for pair in (one, two):
@@ -120,11 +121,11 @@
             streams.append((pair, stream))
         pair.carry()
     before = one.client.outbound_flow_control_window
-    one.server.take(streams[0][1], 1000)
+    one.server.consume(streams[0][1], 1000)
     one.carry()
     assert store.held == 3000 and one.client.outbound_flow_control_window == before  # still over the cap
-    two.server.take(streams[2][1], 1000)
-    two.server.take(streams[3][1], 1000)
+    two.server.consume(streams[2][1], 1000)
+    two.server.consume(streams[3][1], 1000)
     one.server.relieve()
     one.carry()
     assert store.held == 1000 and one.client.outbound_flow_control_window == before + 1000
@@ -142,17 +143,17 @@
     assert pair.client.outbound_flow_control_window == before + 500 and pair.store.held == 0
     pair.client.send_data(taken[0], b"x" * 100, pad_length=200)
     pair.carry()
-    credit = [one.credit for one in pair.told if isinstance(one, Body)]
+    credit = [one.credit for one in pair.told if isinstance(one, BodyReceived)]
     assert credit == [301] and pair.store.held == 301
     pair.client.reset_stream(taken[0])
     pair.carry()
-    assert pair.store.held == 0 and Gone(taken[0], 0) in pair.told
+    assert pair.store.held == 0 and StreamAborted(taken[0], 0) in pair.told
 
 
 def test_an_answer_before_the_body_is_whole_tells_that_the_rest_is_not_wanted():
     pair = Pair()
     stream = pair.ask(body=True)
-    pair.server.head(stream, 413, [], True)
+    pair.server.send_head(stream, 413, [], True)
     pair.carry()
     ends = [e for e in pair.heard if getattr(e, "stream_id", None) == stream]
     assert any(isinstance(e, ResponseReceived) for e in ends)
@@ -161,14 +162,14 @@
 
 # ---- budgets ----
 
-@pytest.mark.parametrize("conduct", list(Conduct))
-def test_each_budget_is_so_many_at_once_and_so_many_a_second(conduct):
-    manners, allowance = Manners(), ALLOWANCES[conduct]
-    assert all(manners.note(conduct, 0.0) for _ in range(int(allowance.at_once)))
-    assert not manners.note(conduct, 0.0)
-    assert manners.note(conduct, 2.1 / allowance.a_second)
-    assert all(manners.note(other, 0.0) for other in Conduct if other is not conduct)
-    assert not manners.note(conduct, -5.0)  # a clock that steps back gives nothing
+@pytest.mark.parametrize("action", list(PeerAction))
+def test_each_budget_is_so_many_at_once_and_so_many_a_second(action):
+    budget, allowance = PeerBudget(), ALLOWANCES[action]
+    assert all(budget.spend(action, 0.0) for _ in range(int(allowance.at_once)))
+    assert not budget.spend(action, 0.0)
+    assert budget.spend(action, 2.1 / allowance.a_second)
+    assert all(budget.spend(other, 0.0) for other in PeerAction if other is not action)
+    assert not budget.spend(action, -5.0)  # a clock that steps back gives nothing
 
 
 # ---- the drain ----
@@ -186,7 +187,7 @@
     assert said == [(2**31 - 1, 0), (between, 0)] and not pair.server.done
     late = pair.ask()
     for stream in (first, between):
-        pair.server.head(stream, 200, [], True)
+        pair.server.send_head(stream, 200, [], True)
     pair.carry()
     assert {e.stream_id for e in pair.heard if isinstance(e, StreamEnded)} == {first, between}
     assert [e.error_code for e in pair.heard if isinstance(e, StreamReset) and e.stream_id == late] == [7]
@@ -205,20 +206,20 @@
         frame(kind, body, flags, stream) for kind, body, flags, stream in frames)
     if not valid:
         data = data[cuts:] + data[:cuts]
-    store = Store(10_000)
+    store = BufferBudget(10_000)
     connection = Connection(SMALL, store, 0.0)
     open_: set[int] = set()
     for at in range(0, len(data), cuts):
         for told in connection.receive(data[at:at + cuts], at * 0.001):
             match told:
-                case Begun(stream):
+                case RequestStarted(stream):
                     assert stream not in open_
                     open_.add(stream)
-                case Gone(stream):
+                case StreamAborted(stream):
                     open_.remove(stream)
-                case Body(stream) | BodyEnded(stream):
+                case BodyReceived(stream) | BodyEnded(stream):
                     assert stream in open_
-                case Over():
+                case ConnectionEnded():
                     open_.clear()
         assert connection.open == len(open_) <= SMALL.streams and 0 <= store.held <= 65_535
         connection.control_to_send()
@@ -242,12 +243,12 @@
         self.pair.now += 0.05
         self.pair.carry()
         for told in self.pair.told[self.seen:]:
-            assert not isinstance(told, Over)
-            if isinstance(told, Begun):
+            assert not isinstance(told, ConnectionEnded)
+            if isinstance(told, RequestStarted):
                 self.sent[told.stream] = b""
-            elif isinstance(told, Body):
+            elif isinstance(told, BodyReceived):
                 self.held.append((told.stream, told.credit))
-            elif isinstance(told, Gone):
+            elif isinstance(told, StreamAborted):
                 self.sent.pop(told.stream)
         self.seen = len(self.pair.told)
 
@@ -274,7 +275,7 @@
     @precondition(lambda self: self.held)
     @rule()
     def take(self):
-        self.pair.server.take(*self.held.pop(0))
+        self.pair.server.consume(*self.held.pop(0))
         self.hear()
 
     @precondition(lambda self: self.open())
@@ -282,10 +283,10 @@
     def answer(self, data, size, ended):
         stream = data.draw(st.sampled_from(self.open()))
         if not self.sent[stream]:
-            self.pair.server.head(stream, 200, [], False)
+            self.pair.server.send_head(stream, 200, [], False)
         piece = bytes([stream % 256]) * (size + 1)
         self.sent[stream] += piece
-        self.pair.server.data(stream, piece, ended)
+        self.pair.server.send_data(stream, piece, ended)
         if ended:
             self.whole.add(stream)
         self.hear()
