Long answers pass on as they come; long bodies are held in bounds or streamed

Now answers above 64 KiB go out from their first bytes and no deadline cuts them; bodies are held up to 1 MiB within a part of the memory, and stream through one attempt beyond; slow clients have 4 s for a head and time for each byte. Ruled out: lost time in the loop and clients that stop.

--- a/ochrespan/broker.py
+++ b/ochrespan/broker.py
@@ -54,6 +54,7 @@
     out: Attempt | None = None
     step: asyncio.Future[Attempt | Refused | Failed] | None = None
     final: Refused | Failed | None = None
+    passing_on: bool = False  # its answer has begun; the module has its outcome
 
 
 class Broker:
@@ -163,7 +164,7 @@
         held.usage.taken += 1
         self._handle(api.Request(
             held.id, request.volume, request.cls, request.plan, request.time_left.total_seconds(),
-            request.units, request.shard, request.key, request.hosts, hold.attempts if hold else 0))
+            request.units, request.shard, request.key, request.hosts, self._most_attempts(held)))
         return held
 
     def _check(self, request: Request) -> None:
@@ -204,16 +205,34 @@
             held.id, outcome.attempt.number, outcome.attempt.node, status, outcome.latency.total_seconds(),
             closed=served or held.final is not None, report=outcome.load, elsewhere=outcome.elsewhere,
             most_attempts=0 if served or held.final else self._paid(held)))
-        if served:
+        if not served:
+            return
+        held.usage.units += held.request.units
+        held.usage.waited += self._clock() - held.taken_at
+        if outcome.unfinished:
+            held.passing_on = True
+        else:
             held.usage.served += 1
-            held.usage.units += held.request.units
-            held.usage.waited += self._clock() - held.taken_at
             self._forget(held)
 
+    def finish(self, request: Request, whole: bool) -> None:
+        """The end of an answer that was passed on as it came; not whole: its chunk server broke it off."""
+        held = self._held[request]
+        held.usage.served += whole
+        held.usage.failed += not whole
+        self._forget(held)
+
+    @staticmethod
+    def _most_attempts(held: _Held) -> int:
+        """Attempts that may be made as things stand; 0: any number."""
+        if not held.request.repeatable:
+            return 1
+        return held.hold.attempts if held.hold else 0
+
     def _paid(self, held: _Held) -> int:
         """Attempts that are paid for, one more than were made if the budgets bear it; 0: any number."""
-        if held.hold is None or self._gate is None:
-            return 0
+        if held.hold is None or self._gate is None or not held.request.repeatable:
+            return self._most_attempts(held)
         if held.attempts >= held.hold.attempts and held.attempts < self._settings.max_attempts:
             self._gate.extend(self._now(), held.hold)
         return held.hold.attempts
@@ -226,7 +245,7 @@
         held.usage.left += 1
         held.ran += held.out is not None
         self._forget(held)
-        if held.final is None:
+        if held.final is None and not held.passing_on:
             self._handle(api.Gone(held.id))
         if held.out is not None:
             number, node = held.out.number, held.out.node
--- a/ochrespan/exchange.py
+++ b/ochrespan/exchange.py
@@ -42,6 +42,7 @@
     headers: CIMultiDictProxy[str] | CIMultiDict[str]
     has_body: bool
     has_length: bool  # whether where the body ends is told, in whichever way the wire has
+    length: int | None = None  # of the body, where it is announced
 
     @property
     @abstractmethod
@@ -64,8 +65,10 @@
         """Tells a client that waits for it to send the body (100 Continue)."""
 
     @abstractmethod
-    async def start(self, status: int, headers: Mapping[str, str], length: int, close: bool = False) -> None:
-        """The head of a streamed answer of so many bytes."""
+    async def start(
+        self, status: int, headers: Mapping[str, str], length: int | None, close: bool = False
+    ) -> None:
+        """The head of a streamed answer of so many bytes; None: as many as come before it is finished."""
 
     @abstractmethod
     async def write(self, data: bytes) -> None:
--- a/ochrespan/front.py
+++ b/ochrespan/front.py
@@ -25,11 +25,12 @@
 from .figures import operating
 from .lifecycle import Lifecycle, Phase
 from .net import discovery
+from .net.bodies import MOST_BODY
 from .net.chunks import ChunkClient, open_session, resize
 from .net.discovery import Directory, Watch
 from .net.http1 import Http1Server
 from .net.listener import Listener, Server
-from .net.platform import MOST_BODY, PlatformFront
+from .net.platform import MOST_WHOLE, PlatformFront
 from .running import Core, Running
 from .sockets import Sockets
 from .suspension import ServerSwitch, SuspendedServers, SuspensionFile
@@ -185,7 +186,7 @@
         if successor:  # it takes all that is new from the moment it listens
             await first_list(watch, lifecycle, FIRST_LIST_IN_UPGRADE)
         fronts: list[tuple[Server, tuple[str, int]]] = [
-            (Http1Server(core.handlers["platform"], MOST_BODY), told.listen)]
+            (Http1Server(core.handlers["platform"], MOST_BODY, MOST_WHOLE), told.listen)]
         fronts += [front for one in running.values() for front in one.fronts]
         listeners: list[Listener] = []
         for server, address in fronts:
--- a/ochrespan/http2/start.py
+++ b/ochrespan/http2/start.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..net.platform import MOST_BODY
+from ..net.bodies import MOST_BODY
 from ..running import Core, Running
 from .limits import Store
 from .protocol import Http2Server
--- a/ochrespan/http2/stream.py
+++ b/ochrespan/http2/stream.py
@@ -90,9 +90,13 @@
     async def go_on(self) -> None:
         self._connection.inform(self.stream, 100)
 
-    async def start(self, status: int, headers: Mapping[str, str], length: int, close: bool = False) -> None:
+    async def start(
+        self, status: int, headers: Mapping[str, str], length: int | None, close: bool = False
+    ) -> None:
         self.started = True
-        fields = _fields(headers) + [("content-length", str(length))]
+        fields = _fields(headers)
+        if length is not None:
+            fields.append(("content-length", str(length)))
         ended = self.method == "HEAD" or status == 304
         self.finished = ended
         self._connection.head(self.stream, status, fields, ended)
--- a/ochrespan/net/answers.py
+++ b/ochrespan/net/answers.py
@@ -1,12 +1,12 @@
 """Reads the answers of chunk servers strictly, byte by byte of their framing, before aiohttp sees them.
 
-aiohttp's own parser for answers forgives much, holds a body of any length, and takes bytes that come between two
-requests for the next answer. Here an answer is whole, within bounds and alone, or its attempt has failed and its
-connection is never used again.
+aiohttp's own parser for answers forgives much, and takes bytes that come between two requests for the next answer.
+Here an answer is within bounds and alone, or its attempt has failed and its connection is never used again.
 """
 
 from __future__ import annotations
 
+import asyncio
 import re
 import select
 from collections.abc import Callable
@@ -17,8 +17,8 @@
 
 from .framing import Framer, Unreadable
 
-# the protocol's page says 64 KiB, yet chunk servers do send 400,000 bytes; what is far beyond that may never end
-MOST_BODY = 1 << 20
+MOST_BODY = 64 << 20  # twice the longest that is promised; what is far beyond that may never end
+PIECE = 32 * 1024  # bytes read from a connection at once; asyncio's own 256 KiB on each would not fit into memory
 
 START = b"HTTP/1."
 
@@ -51,46 +51,50 @@
 
     def __init__(self) -> None:
         self._framer = AnswerFramer(MOST_BODY)
-        self._held = bytearray()
         self.rest = b""  # what came behind the answer
 
-    def feed(self, data: bytes) -> bytes | None:
-        """The whole answer, once it is there."""
+    @property
+    def whole(self) -> bool:
+        return self._framer.whole
+
+    @property
+    def open_ended(self) -> bool:
+        """Whether only the end of the connection is the end of this answer."""
+        return self._framer.open_ended
+
+    def feed(self, data: bytes) -> bytes:
+        """What can be passed on now: the head once it is whole, then the body as it comes. Raises Spoilt."""
+        passed = bytearray()
         try:
             while data and not self._framer.whole:
-                data = self._take(data)
+                data = self._take(data, passed)
         except Unreadable as why:
             raise Spoilt(str(why)) from why
-        if not self._framer.whole:
-            return None
         self.rest = data
-        return bytes(self._held)
+        return bytes(passed)
 
-    def end(self) -> bytes | None:
-        """The whole answer, if it is one that the connection's end makes whole; it then has a length."""
-        if not self._framer.open_ended:
-            return None
-        head, body = self._held[:len(self._framer.head) - 2], self._held[len(self._framer.head):]
-        return b"%bContent-Length: %d\r\n\r\n%b" % (head, len(body), body)
-
-    def _take(self, data: bytes) -> bytes:
+    def _take(self, data: bytes, passed: bytearray) -> bytes:
         framer = self._framer
         used = framer.take(data)
         if framer.first and framer.first[1][0:1] == b"1":
             if framer.first[1] == b"101":
                 raise Unreadable("a change of protocol was not asked for")
-            self._framer, self._held = AnswerFramer(MOST_BODY), bytearray()
+            self._framer = AnswerFramer(MOST_BODY)
         else:
-            self._held += data[:used]
+            passed += framer.passed()
         return data[used:]
 
 
 class AnswerHandler(ResponseHandler):
-    """aiohttp's handler of a connection, given whole answers only, and nothing that was not asked for."""
+    """aiohttp's handler of a connection, given answers that can be read, and nothing that was not asked for."""
 
     _reader: AnswerReader | None = None  # while an answer is awaited
     on_drained: Callable[[], None] | None = None  # to be told when the kernel has all that was written
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        transport.max_size = PIECE  # type: ignore[attr-defined]  # there is no public way
+
     def expect(self) -> None:
         """To be called right before the first byte of a request is written."""
         transport = self.transport
@@ -109,29 +113,39 @@
         if not data:  # aiohttp resumes what it paused
             super().data_received(data)
             return
-        if self._reader is None:
+        reader = self._reader
+        if reader is None:
             self._drop()
             return
         try:
-            answer = self._reader.feed(data)
+            passed = reader.feed(data)
         except Spoilt as why:
-            self._reader = None
-            self.set_exception(why)
-            self._drop()
+            self._spoil(why)
             return
-        if answer is None:
-            return
-        rest, self._reader = self._reader.rest, None
-        super().data_received(answer)
-        if rest:
+        if reader.whole:
+            self._reader = None
+        if passed:
+            super().data_received(passed)
+        if reader.rest:
             self._drop()
 
-    def eof_received(self) -> None:
-        """The peer ended its sending. A connection that is reset never comes here: its answer may lack its tail."""
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """An answer that the connection's end makes whole may lack its tail where that end was a reset."""
         reader, self._reader = self._reader, None
-        if reader is not None and (answer := reader.end()) is not None:
-            super().data_received(answer)
-        super().eof_received()
+        if reader is not None and reader.open_ended and exc is not None:
+            self._break_payload(aiohttp.ClientPayloadError("the connection was reset before its end"))
+        super().connection_lost(exc)
+
+    def _spoil(self, why: Spoilt) -> None:
+        self._reader = None
+        self.set_exception(why)
+        self._break_payload(why)
+        self._drop()
+
+    def _break_payload(self, why: aiohttp.ClientPayloadError) -> None:
+        """Whoever reads a body that has begun sees that it is not whole."""
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(why)
 
     def _drop(self) -> None:
         """The connection may bring anything now; its socket closes before anything else can be sent on it."""
--- a/ochrespan/net/chunks.py
+++ b/ochrespan/net/chunks.py
@@ -6,7 +6,7 @@
 import logging
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from contextlib import suppress
 from contextvars import ContextVar
 from dataclasses import dataclass, field
@@ -22,7 +22,8 @@
 from ..logs import bind
 from ..requests import Attempt, Counts, Final, Outcome, Request, Status
 from ..settings import Links
-from .answers import AnswerHandler, Spoilt, Stale
+from .answers import PIECE, AnswerHandler, Spoilt, Stale
+from .bodies import StreamedBody
 from .discovery import Directory
 from .reports import ELSEWHERE, LOAD, Repeats, read_load, read_units
 
@@ -31,6 +32,10 @@
 # of the time after which chunk servers close idle connections. Nothing is sent on one that was idle for longer;
 # aiohttp sweeps the pool only once in that span, so the last of them is closed after up to twice as long.
 IDLE_PART = 0.4
+MOST_WHOLE = 64 * 1024  # bytes of an answer up to which it counts by its last byte, and a broken one is tried again
+MOST_CHECKED = 1 << 20  # bytes of an answer that is needed whole, or that serves nothing
+UNTOLD = timedelta(seconds=0.1)  # from the first byte, for an answer without a length to turn out short
+SILENCE = timedelta(seconds=5)  # of a chunk server within an answer that is being passed on
 
 
 class Withdrawn(aiohttp.ClientConnectionError):
@@ -43,6 +48,7 @@
 
     allowed: Callable[[], bool]  # whether the attempt may still begin
     on_written: Callable[[], None] = lambda: None  # to be told once, as the last byte leaves
+    body: StreamedBody | None = None  # where it is still coming from the client
     protocol: ResponseHandler | None = None
     transport: asyncio.Transport | None = None
     passed_on: bool = False  # the last byte is the transport's
@@ -116,6 +122,11 @@
         except (Stale, Withdrawn) as why:
             conn.protocol.set_exception(why)
             return
+        if progress.body is not None:
+            await super().write_bytes(writer, conn, content_length)
+            if conn.protocol is not None and conn.protocol.exception() is None:
+                progress.look()
+            return
         progress.passed_on = True  # head and body go to the transport in one piece, before anything else happens
         asyncio.get_running_loop().call_soon(progress.look)
         await super().write_bytes(writer, conn, content_length)
@@ -171,19 +182,42 @@
 
     method: str
     target: str  # path and query, as on the wire
-    body: bytes = b""
+    body: bytes | StreamedBody = b""
     headers: CIMultiDict[str] = field(default_factory=CIMultiDict)
     served: frozenset[int] = frozenset({200})  # the statuses that answer it
     check: Callable[[Answer], bool] = lambda answer: True  # whether a whole answer is what was asked for
+    streams: bool = False  # whether a long answer may be passed on as it comes
+
+
+class Rest:
+    """What is still to come of an answer."""
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        self._response = response
+        self.length = response.content_length  # of the whole body, where it is told
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """As they come; reading waits while whoever takes them does. Raises what breaks the answer."""
+        while True:
+            async with asyncio.timeout(SILENCE.total_seconds()):
+                piece = await self._response.content.readany()
+            if not piece:
+                return
+            yield piece
+
+    def close(self) -> None:
+        """A connection whose answer has not come whole is of no more use."""
+        self._response.close()
 
 
 @dataclass(slots=True)
 class Answer:
-    """A whole answer of a chunk server."""
+    """An answer of a chunk server: whole, or its first bytes and the rest."""
 
     status: int
     body: bytes
     headers: dict[str, str]
+    rest: Rest | None = None
 
 
 def _headers(response: aiohttp.ClientResponse) -> dict[str, str]:
@@ -200,11 +234,22 @@
         """Makes the attempt: one message, at most one answer, never a second copy."""
         loop = asyncio.get_running_loop()
         began = loop.time()
+        streamed = message.body if isinstance(message.body, StreamedBody) else None
+
+        def written() -> None:
+            nonlocal began
+            self._counts.dispatches += 1
+            if streamed is not None:
+                began = loop.time()
+                attempt.start_clock()
+
         progress = Progress(
-            lambda: attempt.may_begin and self._directory.takes(attempt.node), self._count_dispatch)
+            lambda: attempt.may_begin and self._directory.takes(attempt.node), written, streamed)
         answer = None
         try:
             async with attempt.limited():
+                if streamed is not None:
+                    attempt.stop_clock()
                 answer = await self._exchange(attempt, message, progress)
             status = self._status(answer, message)
         except TimeoutError as why:
@@ -242,13 +287,11 @@
         headers = answer.headers if answer else {}
         outcome = Outcome(
             attempt, status, timedelta(seconds=loop.time() - began),
+            unfinished=answer is not None and answer.rest is not None,
             load=read_load(headers.get(LOAD, ""), nonsense),
             elsewhere=read_units(headers.get(ELSEWHERE, ""), nonsense))
         return outcome, answer
 
-    def _count_dispatch(self) -> None:
-        self._counts.dispatches += 1
-
     async def _exchange(self, attempt: Attempt, message: Message, progress: Progress) -> Answer:
         address = self._directory.addresses.get(attempt.node)
         if not address:
@@ -257,27 +300,55 @@
         wait = max(1, attempt.timeout // timedelta(milliseconds=1))
         headers = CIMultiDict(message.headers)
         headers["X-Expires-In-Ms"] = str(wait)
+        if progress.body is not None and progress.body.length is not None:
+            headers["Content-Length"] = str(progress.body.length)
         while True:
             try:
                 response = await self._session.request(
                     message.method, URL(f"http://{address}{message.target}", encoded=True),
-                    data=message.body or None, headers=headers, allow_redirects=False)
+                    data=progress.body.pieces() if progress.body is not None else message.body or None,
+                    headers=headers, allow_redirects=False, read_bufsize=PIECE)
                 break
             except Stale:  # nothing was sent: no attempt yet; each takes one connection out of the pool
                 await progress.abandon()
         try:
             if not progress.written:  # an answer to part of a request: its rest must not follow
-                body = await response.content.read()
+                answer = await self._whole(response)
                 await progress.abandon()
-                answer = Answer(response.status, body, _headers(response))
                 if self._status(answer, message) is not Status.FULL:
                     raise Spoilt("an answer came before the request was whole")
                 return answer
-            body = await response.read()  # whole, or not at all: a broken body is a reset
+            if message.streams and response.status in message.served:
+                return await self._begun(response)
+            return await self._whole(response)  # or not at all: a broken body is a reset
         except BaseException:
             response.close()  # the connection too: an abandoned exchange must not come back to the pool
             raise
-        return Answer(response.status, body, _headers(response))
+
+    @staticmethod
+    async def _whole(response: aiohttp.ClientResponse) -> Answer:
+        body = bytearray()
+        while piece := await response.content.readany():
+            body += piece
+            if len(body) > MOST_CHECKED:
+                raise Spoilt("the body is too long")
+        return Answer(response.status, bytes(body), _headers(response))
+
+    @staticmethod
+    async def _begun(response: aiohttp.ClientResponse) -> Answer:
+        """A short answer whole; of a long one, or one that does not turn out short soon, the first bytes."""
+        body, whole = bytearray(), False
+        short = response.content_length is not None and response.content_length <= MOST_WHOLE
+        most = 0 if response.content_length is not None and not short else MOST_WHOLE
+        with suppress(TimeoutError):
+            async with asyncio.timeout(None) as limit:
+                while not whole and (short or len(body) <= most):
+                    piece = await response.content.readany()
+                    whole = not piece
+                    if not (body or short):
+                        limit.reschedule(asyncio.get_running_loop().time() + UNTOLD.total_seconds())
+                    body += piece
+        return Answer(response.status, bytes(body), _headers(response), None if whole else Rest(response))
 
     @staticmethod
     def _status(answer: Answer, message: Message) -> Status:
@@ -291,7 +362,9 @@
 async def serve(
     broker: Broker, client: ChunkClient, request: Request, message: Message
 ) -> Answer | Final:
-    """A request from its first attempt to its one final answer."""
+    """A request from its first attempt to its one final answer. Of one that has only begun, the rest is passed on
+    by the caller, who tells the broker when it is over."""
+    begun = False
     try:
         while True:
             attempt = await broker.pick(request)
@@ -301,6 +374,8 @@
             outcome, answer = await client.send(attempt, message)
             broker.report(outcome)
             if outcome.status is Status.OK and answer is not None:
+                begun = answer.rest is not None
                 return answer
     finally:
-        broker.leave(request)  # nothing to do unless the client left or we broke
+        if not begun:
+            broker.leave(request)  # nothing to do unless the client left or we broke
--- a/ochrespan/net/framing.py
+++ b/ochrespan/net/framing.py
@@ -1,6 +1,7 @@
 """The framing of one HTTP/1.1 message, followed strictly through the bytes of a connection.
 
 For both sides: requests of clients and answers of chunk servers. Whatever could be read in two ways is not read.
+What is read goes on in one form: chunks without extensions and trailers, which not every parser takes.
 """
 
 from __future__ import annotations
@@ -8,10 +9,13 @@
 import re
 
 MOST_HEAD = 16 * 1024
-MOST_CHUNK_LINE = 8  # hex digits of a chunk's size; extensions and trailers are not taken
+MOST_CHUNK_LINE = 1024  # bytes of a chunk's size and its extensions
+MOST_TRAILER = 16 * 1024  # bytes of the fields behind the last chunk
+CRLF = b"\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
 
 FIELD = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([\t\x20-\x7e\x80-\xff]*)")
-CHUNK = re.compile(rb"[0-9A-Fa-f]{1,%d}" % MOST_CHUNK_LINE)
+CHUNK = re.compile(rb"([0-9A-Fa-f]{1,8})(?:[ \t]*;[\t\x20-\x7e\x80-\xff]*)?\r\n")  # a size, and extensions
 
 
 class Unreadable(ValueError):
@@ -34,11 +38,14 @@
         self.first: re.Match[bytes] | None = None  # the first line, once the head is whole
         self.fields: list[tuple[bytes, bytes]] = []  # names in small letters
         self.whole = False
+        self.length: int | None = None  # of the body, where it is announced
         self.open_ended = False  # the end of the connection is the end of its body
         self._left = 0  # bytes of the body, or of the chunk that has begun with its line's end
         self._size: int | None = None  # of the body so far, where no length is told; None: one is
-        self._last = False
-        self._line = b""
+        self._last = False  # the last chunk's size has come: trailers follow
+        self._line = b""  # what has come of a line that tells a chunk's size, or of a trailer
+        self._trailer = 0  # bytes of trailers so far
+        self._passed = bytearray()  # what may go on, and has not been handed over
 
     def _begins(self) -> bool:
         """Whether what has come of the head can be the beginning of one."""
@@ -57,15 +64,22 @@
         used = 0
         if self.first is None:
             used = self._take_head(data)
+            if self.first is not None:
+                self._passed += self.head
         if self.first is not None and not self.whole:
             if self.open_ended:
-                self._size = (self._size or 0) + len(data) - used
-                self._bounded(self._size)
-                used = len(data)
+                used = self._take_open_ended(data, used)
+            elif self._size is None:
+                used = self._take_body(data, used)
             else:
-                used = self._take_body(data, used) if self._size is None else self._take_chunks(data, used)
+                used = self._take_chunks(data, used)
         return used
 
+    def passed(self) -> bytes:
+        """What has been taken in since the last call, as it is to go on; nothing before the head is whole."""
+        passed, self._passed = bytes(self._passed), bytearray()
+        return passed
+
     def _take_head(self, data: bytes) -> int:
         before = len(self.head)
         self.head += data
@@ -108,7 +122,7 @@
             return
         if len(lengths) != 1 or not lengths[0].isdigit() or len(lengths[0]) > 18:
             raise Unreadable("the length is missing or no length")
-        self._left = int(lengths[0])
+        self._left = self.length = int(lengths[0])
         self._bounded(self._left)
         self.whole = not self._left
 
@@ -116,32 +130,77 @@
         if self._most_body is not None and size > self._most_body:
             raise Unreadable("the body is too long", 413)
 
+    def _take_open_ended(self, data: bytes, at: int) -> int:
+        self._size = (self._size or 0) + len(data) - at
+        self._bounded(self._size)
+        self._passed += data[at:]
+        return len(data)
+
     def _take_body(self, data: bytes, at: int) -> int:
         taken = min(self._left, len(data) - at)
+        self._passed += data[at:at + taken]
         self._left -= taken
         self.whole = not self._left
         return at + taken
 
     def _take_chunks(self, data: bytes, at: int) -> int:
-        assert self._size is not None
         while at < len(data) and not self.whole:
-            if self._left > 2:  # within a chunk
-                taken = min(self._left - 2, len(data) - at)
-                self._left, at = self._left - taken, at + taken
-            elif self._left:  # its end
-                if data[at] != b"\n\r"[self._left - 1]:
-                    raise Unreadable("a chunk does not end where it should")
-                self._left, at = self._left - 1, at + 1
-                self.whole = self._last and not self._left
+            if self._last:
+                at = self._take_trailer(data, at)
+            elif self._left > len(CRLF):
+                at = self._take_chunk(data, at)
+            elif self._left:
+                at = self._take_chunk_end(data, at)
             else:
-                end = data.find(b"\n", at, at + MOST_CHUNK_LINE + 2)
-                stop = len(data[at:at + MOST_CHUNK_LINE + 2]) + at if end < 0 else end + 1
-                self._line, at = self._line + data[at:stop], stop
-                if end < 0 and len(self._line) < MOST_CHUNK_LINE + 2:
-                    continue
-                if self._line[-2:] != b"\r\n" or not CHUNK.fullmatch(self._line[:-2]):
-                    raise Unreadable("a chunk's size cannot be read")
-                size, self._line = int(self._line[:-2], 16), b""
-                self._size, self._left, self._last = self._size + size, size + 2, not size
-                self._bounded(self._size)
+                at = self._take_size(data, at)
+        return at
+
+    def _take_chunk(self, data: bytes, at: int) -> int:
+        taken = min(self._left - len(CRLF), len(data) - at)
+        self._passed += b"%x\r\n%b\r\n" % (taken, data[at:at + taken])
+        self._left -= taken
+        return at + taken
+
+    def _take_chunk_end(self, data: bytes, at: int) -> int:
+        if data[at] != CRLF[-self._left]:
+            raise Unreadable("a chunk does not end where it should")
+        self._left -= 1
+        return at + 1
+
+    def _take_size(self, data: bytes, at: int) -> int:
+        at = self._take_line(data, at, MOST_CHUNK_LINE, "a chunk's size is too long")
+        if self._line.endswith(b"\n"):
+            line, self._line = self._line, b""
+            found = CHUNK.fullmatch(line)
+            if found is None:
+                raise Unreadable("a chunk's size cannot be read")
+            self._begin_chunk(int(found[1], 16))
+        return at
+
+    def _begin_chunk(self, size: int) -> None:
+        assert self._size is not None
+        self._size += size
+        self._bounded(self._size)
+        self._last = not size
+        self._left = size + len(CRLF) if size else 0
+
+    def _take_trailer(self, data: bytes, at: int) -> int:
+        """Fields behind the last chunk, up to an empty line."""
+        at = self._take_line(data, at, MOST_TRAILER - self._trailer, "the trailers are too long")
+        if self._line.endswith(b"\n"):
+            line, self._line = self._line, b""
+            self._trailer += len(line)
+            if line == CRLF:
+                self.whole = True
+                self._passed += LAST_CHUNK
+            elif not (line.endswith(CRLF) and FIELD.fullmatch(line[:-len(CRLF)])):
+                raise Unreadable("a trailer cannot be read")
         return at
+
+    def _take_line(self, data: bytes, at: int, most: int, fault: str) -> int:
+        """Takes in a line up to its end, or what there is of it."""
+        end = data.find(b"\n", at) + 1 or len(data)
+        self._line += data[at:end]
+        if len(self._line) > most:
+            raise Unreadable(fault)
+        return end
--- a/ochrespan/net/guard.py
+++ b/ochrespan/net/guard.py
@@ -16,7 +16,10 @@
 
 from .framing import Framer, Unreadable
 
-REQUEST_TIME = timedelta(seconds=2)  # from connecting, or from its first byte, to the end of a request
+FIRST_BYTE_TIME = timedelta(seconds=2)  # from connecting
+REQUEST_TIME = timedelta(seconds=4)  # from connecting, or from its first byte, to the end of a request ...
+BODY_RATE = 32 * 1024  # ... and more by each byte of its body: bytes a second, half of what slow clients send
+TAKING_TIME = timedelta(seconds=10)  # for a client that takes none of its answer
 IDLE_TIME = timedelta(seconds=2)  # between requests
 LINGER = timedelta(seconds=1)  # for a client to read the error that ends its connection
 MOST_DISCARDED = 256 * 1024  # bytes read and thrown away meanwhile
@@ -33,11 +36,15 @@
     CLOSED = "closed"
 
 
-LIMITS = {State.SILENT: REQUEST_TIME, State.READING: REQUEST_TIME, State.QUIET: IDLE_TIME, State.LEAVING: LINGER,
-          State.WRITING: REQUEST_TIME}
+LIMITS = {State.SILENT: FIRST_BYTE_TIME, State.READING: REQUEST_TIME, State.QUIET: IDLE_TIME, State.LEAVING: LINGER,
+          State.WRITING: TAKING_TIME}
 FLUSHED = timedelta(seconds=0.02)  # between looks at an answer that a client does not take at once
 
 
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+PIECE = 32 * 1024  # bytes read from a connection at once; asyncio's own 256 KiB on each would not fit into memory
+
+
 class RequestFramer(Framer):
     FIRST_LINE = re.compile(rb"[A-Z]{1,16} /[\x21-\x7e]* HTTP/1\.[01]")
     START = re.compile(rb"[A-Z]{1,16}(?: |\Z)")
@@ -45,6 +52,11 @@
     def _begins(self) -> bool:
         return self.START.match(self.head) is not None
 
+    @property
+    def expects_continue(self) -> bool:
+        """Whether the client waits to be told to send the body."""
+        return any(name == b"expect" and value.lower() == b"100-continue" for name, value in self.fields)
+
     def _bodiless(self) -> bool:
         return not any(name in (b"content-length", b"transfer-encoding") for name, _ in self.fields)
 
@@ -52,12 +64,16 @@
 class Guard(asyncio.Protocol):
     """One client's connection."""
 
-    def __init__(self, make: Callable[[], Any], most_body: int | None, moved: Callable[[Guard], None]) -> None:
+    def __init__(
+        self, make: Callable[[], Any], most_body: int | None, most_held: int, moved: Callable[[Guard], None]
+    ) -> None:
         """`make` gives a handler of aiohttp's server; `moved` hears of each new state, and of the end.
 
-        With `most_body` a request is passed on once it is whole and alone; without, its body goes on as it comes.
+        A request with up to `most_held` bytes of body is passed on once it is whole and alone; the body of a longer
+        one goes on as it comes. `most_body` bounds all bodies, where it is given.
         """
-        self._make, self._most_body, self._moved = make, most_body, moved
+        self._make, self._most_body, self._most_held, self._moved = make, most_body, most_held, moved
+        self.continued = False  # the client has been told to send its body
         self._loop = asyncio.get_running_loop()
         self.state, self.since = State.SILENT, self._loop.time()
         self.handler: Any = None
@@ -70,6 +86,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
+        transport.max_size = PIECE  # type: ignore[attr-defined]  # there is no public way
         self._moved(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -111,6 +128,7 @@
             self._enter(State.LEAVING)
             return
         self._enter(State.QUIET)
+        self.continued = False
         if len(self._ahead) > MOST_AHEAD:  # what was not kept of them is missing somewhere in the middle
             self.refuse(HTTPStatus.BAD_REQUEST, "more came ahead of an answer than one request at a time")
         elif self._ahead:
@@ -153,7 +171,7 @@
         framer = self._framer = self._framer or RequestFramer(self._most_body)
         try:
             used = framer.take(data)
-            if self._most_body is not None and used < len(data):
+            if self._most_held and self.state is State.READING and used < len(data):
                 raise Unreadable("more came than the request that was announced")
         except Unreadable as why:
             if self.state is State.BUSY:  # the handler has its head: only a close can tell now
@@ -161,14 +179,24 @@
             else:
                 self.refuse(why.status, str(why))
             return
-        self._held += data[:used]
+        self._held += framer.passed()
         if framer.first is None:
             return
-        if framer.whole or self._most_body is None:
+        if framer.whole or not self._holds(framer):
             self._pass_on(framer.whole)
             self._ahead += data[used:]
-        elif (b"expect", b"100-continue") in framer.fields and len(self._held) == len(framer.head):
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            return
+        self.since = min(self._loop.time(), self.since + used / BODY_RATE)
+        if framer.expects_continue and not self.continued:
+            self.continued = True
+            self._transport.write(CONTINUE)
+
+    def _holds(self, framer: RequestFramer) -> bool:
+        """Whether the request is still held until it is whole."""
+        if not self._most_held:
+            return False
+        body = len(self._held) - len(framer.head)
+        return self.state is State.READING and max(body, framer.length or 0) <= self._most_held
 
     def _pass_on(self, whole: bool) -> None:
         held, self._held = bytes(self._held), bytearray()
--- a/ochrespan/net/http1.py
+++ b/ochrespan/net/http1.py
@@ -10,15 +10,16 @@
 from aiohttp import web
 
 from ..exchange import Exchange, Handler
-from .guard import LINGER, Guard
+from .guard import CONTINUE, LINGER, PIECE, Guard
 
 
 class Http1Exchange(Exchange):
-    def __init__(self, request: web.BaseRequest) -> None:
-        self._request = request
+    def __init__(self, request: web.BaseRequest, guard: Guard | None = None) -> None:
+        self._request, self._guard = request, guard
         self.method, self.target, self.headers = request.method, request.raw_path, request.headers
         self.has_body = request.body_exists
         self.has_length = "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
+        self.length = request.content_length
         self.response: web.StreamResponse | None = None
 
     @property
@@ -32,11 +33,15 @@
         return await self._request.read()
 
     async def go_on(self) -> None:
+        if self._guard is not None and self._guard.continued:
+            return  # the connection has told it already
         writer = self._request.writer
-        await writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        await writer.write(CONTINUE)
         writer.output_size = 0
 
-    async def start(self, status: int, headers: Mapping[str, str], length: int, close: bool = False) -> None:
+    async def start(
+        self, status: int, headers: Mapping[str, str], length: int | None, close: bool = False
+    ) -> None:
         self.response = web.StreamResponse(status=status, headers=headers)
         self.response.content_length = length
         if close:
@@ -61,17 +66,20 @@
 class Http1Server:
     """Makes the connections of one port."""
 
-    def __init__(self, handler: Handler, most_body: int | None) -> None:
+    def __init__(self, handler: Handler, most_body: int | None, most_held: int | None = None) -> None:
+        """`most_body`: of any request; those with up to `most_held` are handled once they are whole (left out: all,
+        where there is a bound)."""
         self._handler, self._most_body = handler, most_body
+        self._most_held = (most_body or 0) if most_held is None else most_held
         self._server = web.Server(
             self._handle, handler_cancellation=True, access_log=None, auto_decompress=False,
-            lingering_time=LINGER.total_seconds())
+            lingering_time=LINGER.total_seconds(), read_bufsize=PIECE)
         self._guards: dict[Any, Guard] = {}  # by aiohttp's handler
         self._loop = asyncio.get_running_loop()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
-            exchange = Http1Exchange(request)
+            exchange = Http1Exchange(request, self._guards.get(request.protocol))
             reply = await self._handler(exchange)
             if reply is None:
                 assert exchange.response is not None, "neither a reply nor a streamed answer"
@@ -92,7 +100,7 @@
                 self._guards[guard.handler] = guard
             moved(guard)
 
-        return Guard(self._server, self._most_body, follow)
+        return Guard(self._server, self._most_body, self._most_held, follow)
 
     async def shutdown(self, timeout: timedelta) -> None:
         await self._server.shutdown(timeout.total_seconds())
--- a/ochrespan/net/platform.py
+++ b/ochrespan/net/platform.py
@@ -5,15 +5,18 @@
 import asyncio
 import logging
 import re
+from contextlib import aclosing
 from datetime import timedelta
 
+import aiohttp
 from multidict import CIMultiDict
 
 from ..exchange import BadBody, Exchange, Reply
 from ..logs import bind
 from ..requests import Claim, Failed, NotCovered, OverBudget, Refused, Request, Unacceptable
 from ..running import Core
-from .chunks import Message, serve
+from .bodies import HELD_PART, Body, BodyBudget, HeldBody, Receiver
+from .chunks import Answer, Message, Rest, serve
 
 log = logging.getLogger(__name__)
 
@@ -21,7 +24,8 @@
 TRACE = re.compile(r"[\x21-\x7e]{1,128}")
 WHOLE = re.compile(r"-?[0-9]{1,9}")
 FIGURE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
-MOST_BODY = 64 * 1024
+MOST_WHOLE = 64 * 1024  # bytes of a body with which a request is handled once it is whole
+TAKES = timedelta(seconds=10)  # for a client to take some of an answer that is passed on as it comes
 # what goes no further: the connection's own (RFC 9110, section 7.6.1), what this front reads or tells itself, and what
 # would ask for less than the whole answer
 HERE = frozenset("""
@@ -102,8 +106,9 @@
     def __init__(self, core: Core) -> None:
         self._core, self._lifecycle = core, core.lifecycle
         self._open: set[str] = set()  # the ids of the requests in hand
+        self._budget = BodyBudget(core.told.memory // HELD_PART)
 
-    async def handle(self, request: Exchange) -> Reply:
+    async def handle(self, request: Exchange) -> Reply | None:
         """One final answer to whatever arrives, also when something of ours breaks."""
         bind()  # the last request's words, on a connection that clients keep
         with self._lifecycle.work():
@@ -118,10 +123,11 @@
             except Exception:
                 log.exception("request failed")
                 reply = Reply(500)
-            reply.close = reply.close or self._lifecycle.closing  # only after the whole answer
+            if reply is not None:  # only after the whole answer; what is left of a body is not read
+                reply.close = reply.close or self._lifecycle.closing or not request.body_ended
             return reply
 
-    async def _answer(self, request: Exchange) -> Reply:
+    async def _answer(self, request: Exchange) -> Reply | None:
         if request.target == "/up":
             return Reply(200 if self._lifecycle.ready else 503)
         taken = read_request(request)
@@ -136,11 +142,22 @@
         finally:
             self._open.discard(trace)
 
-    async def _serve(self, request: Exchange, taken: Request, trace: str) -> Reply:
-        body = await request.read()
-        message = Message(request.method, request.target, body, further(request))
+    async def _serve(self, request: Exchange, taken: Request, trace: str) -> Reply | None:
+        receiver = Receiver(request, self._budget)
+        try:
+            if request.has_body and request.headers.get("Expect", "").lower() == "100-continue":
+                await request.go_on()
+            body = await receiver.receive()
+            return await self._serve_with(request, taken, trace, body)
+        finally:
+            receiver.let_go()
+
+    async def _serve_with(self, request: Exchange, taken: Request, trace: str, body: Body) -> Reply | None:
+        taken.repeatable = isinstance(body, HeldBody)
+        sent = body.data if isinstance(body, HeldBody) else body
+        message = Message(request.method, request.target, sent, further(request), streams=True)
         message.headers["X-Trace-Id"] = trace
-        if body:
+        if sent:
             message.headers["Content-Type"] = request.headers.get("Content-Type", "application/octet-stream")
         match await serve(self._core.broker, self._core.client, taken, message):
             case NotCovered(rule, _, words):
@@ -153,5 +170,32 @@
                 return Reply(503, headers={"Retry-After": retry_after(pause)} if pause else {})
             case Failed():
                 return Reply(502)
-            case answer:
-                return Reply(200, answer.body)
+            case Answer(_, first, _, None):
+                return Reply(200, first)
+            case Answer(_, first, _, rest):
+                await self._pass_on(request, taken, first, rest)
+                return None
+
+    async def _pass_on(self, request: Exchange, taken: Request, first: bytes, rest: Rest) -> None:
+        """An answer that goes out as it comes; one that breaks ends its connection, so that its client can tell."""
+        broker = self._core.broker
+        try:
+            await request.start(200, {}, rest.length, self._lifecycle.closing)
+            async with aclosing(rest.pieces()) as pieces:
+                await self._write(request, first)
+                async for piece in pieces:
+                    await self._write(request, piece)
+            await request.finish()
+            broker.finish(taken, whole=True)
+        except (aiohttp.ClientPayloadError, aiohttp.ClientConnectionError, TimeoutError, OSError) as why:
+            log.info("answer broke off", extra={"why": repr(why)})
+            broker.finish(taken, whole=False)
+            request.break_off()
+        finally:
+            rest.close()
+            broker.leave(taken)  # nothing to do unless its client left
+
+    @staticmethod
+    async def _write(request: Exchange, piece: bytes) -> None:
+        async with asyncio.timeout(TAKES.total_seconds()):
+            await request.write(piece)
--- a/ochrespan/requests.py
+++ b/ochrespan/requests.py
@@ -38,6 +38,7 @@
     key: str = ""
     hosts: int = 0
     claim: Claim | None = None  # None: needs no contract
+    repeatable: bool = True  # whether a second attempt could send all of it again
     id: str = ""  # the broker's, for the log
     team: str = ""  # the contract's path, once it is known
 
@@ -75,6 +76,16 @@
         finally:
             self._limit = None
 
+    def stop_clock(self) -> None:
+        """Its time does not run while a long body is being sent: it is for the answer."""
+        if self._limit is not None and not self.revoked and not self._limit.expired():
+            self._limit.reschedule(None)
+
+    def start_clock(self) -> None:
+        """From now on it has all of its time."""
+        if self._limit is not None and not self.revoked and not self._limit.expired():
+            self._limit.reschedule(asyncio.get_running_loop().time() + self.timeout.total_seconds())
+
     def revoke(self) -> None:
         self.revoked = True
         # a limit that is just running out cannot be moved: the error would take the actions that follow with it
@@ -149,6 +160,7 @@
     attempt: Attempt
     status: Status
     latency: timedelta
+    unfinished: bool = False  # served, and still being passed on: `Broker.finish` follows
     load: dict[str, float] = field(default_factory=dict)
     elsewhere: float = 0.0
 
