--- a/ochrespan/broker.py
+++ b/ochrespan/broker.py
@@ -17,7 +17,7 @@
 from . import interface as api
 from .figures import ClassTotals
 from .logs import unbound
-from .policy import FAILS, NEVER_RAN, Scheduler
+from .policy.front import FAILS, NEVER_RAN, Scheduler
 from .requests import (
     Attempt,
     Counts,
--- /dev/null
+++ b/ochrespan/control_plane/feed_server.py
@@ -0,0 +1,229 @@
+"""The controller's end of the change feed: sends each applied change, encoded once, to every router that subscribed."""
+
+from __future__ import annotations
+
+import bisect
+import logging
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from time import monotonic
+from typing import Any
+
+import gevent
+
+from ..coordination.shards import ALL_SHARDS, CONFIG_SHARD
+from ..transport.codec import encode
+from ..transport.rpc import CallServer
+from ..transport.tcp import Address, Connection, ConnectionClosed
+from .cold_times import ColdTimes
+from .configuration import Configuration, change_to
+from .feed_messages import (
+    FRESHNESS_INTERVAL_S,
+    FeedDelta,
+    FeedSnapshot,
+    Freshness,
+    Subscribe,
+    longest,
+    pack_configuration_change,
+    pack_instances_change,
+)
+from .instances import InstanceMachine, InstancesChange
+from .lag_watch import LagWatch
+from .orders import ConfigurationMachine, Verdict
+from .owners import FRESH_QUORUM_S, ReplicaGroups, applied_offsets
+from .presence import RouterCensus
+
+log = logging.getLogger(__name__)
+
+HISTORY_BYTES = 4 * 1024 * 1024
+HISTORY_CHANGES = 4096
+SNAPSHOT_LASTS_S = 1.0
+WAITING_INTERVAL_S = 0.1  # between messages while readers wait for a majority
+
+
+@dataclass(slots=True)
+class ShardHistory:
+    """The recent changes of a shard, encoded; `start` is the offset from which they lead on without a gap."""
+
+    start: int = 0
+    last: int = 0  # the offset of the latest change
+    restored: bool = False  # the state has jumped, and its new offset is not known yet
+    changes: deque[tuple[int, bytes]] = field(default_factory=deque)
+    size: int = 0
+
+    def add(self, offset: int, encoded: bytes) -> None:
+        """Appends a change and drops the oldest ones beyond the bounds."""
+        self.changes.append((offset, encoded))
+        self.size += len(encoded)
+        self.last = offset
+        while self.size > HISTORY_BYTES or len(self.changes) > HISTORY_CHANGES:
+            self.start, dropped = self.changes.popleft()
+            self.size -= len(dropped)
+
+    def restart(self, offset: int) -> None:
+        """Forgets all changes: the state jumped to `offset`."""
+        self.changes.clear()
+        self.size = 0
+        self.start = self.last = offset
+        self.restored = False
+
+    def since(self, offset: int) -> list[bytes] | None:
+        """The changes after `offset`, or None where they do not reach back so far."""
+        if offset < self.start:
+            return None
+        first = bisect.bisect_right(self.changes, offset, key=lambda change: change[0])
+        return [encoded for _, encoded in list(self.changes)[first:]]
+
+
+@dataclass(eq=False, slots=True)
+class Subscriber:
+    """A router that reads the feed."""
+
+    node: str
+    connection: Connection
+
+
+class FeedServer:
+    """To be told of every applied command and every restored snapshot, in the order of each shard's log."""
+
+    def __init__(
+        self,
+        groups: ReplicaGroups,
+        configuration: ConfigurationMachine,
+        instances: Mapping[int, InstanceMachine],
+        census: RouterCensus,
+        lag: LagWatch,
+        controllers: Callable[[], Iterable[tuple[Address, str]]],
+    ) -> None:
+        self._groups = groups
+        self._configuration = configuration
+        self._instances = instances
+        self._census = census
+        self._lag = lag
+        self._cold = ColdTimes()
+        self._packed: dict[int, tuple[int, float, bytes]] = {}  # by shard, an encoded snapshot, its offset and time
+        self._controllers = controllers
+        self._histories = {shard: ShardHistory() for shard in ALL_SHARDS}
+        self._subscribers: dict[Connection, Subscriber] = {}
+
+    def register(self, call_server: CallServer) -> None:
+        """Takes subscriptions on the port for other processes of the fleet."""
+        call_server.on_push(Subscribe, self.subscribe)
+
+    def applied(self, shard: int, index: int, result: Any) -> None:
+        """Sends what an applied command changed."""
+        history = self._histories[shard]
+        if isinstance(result, InstancesChange):
+            self._cold.note(result, monotonic())
+        body = _packed_change(result)
+        if body is None or history.restored:
+            return  # a snapshot that is about to be sent holds the change
+        encoded = encode(FeedDelta(shard, history.last, index, body))
+        history.add(index, encoded)
+        for subscriber in list(self._subscribers.values()):
+            self._send(subscriber, encoded)
+
+    def restored(self, shard: int) -> None:
+        """Sends the whole state of a shard that has jumped ahead by a snapshot, once its offset is known."""
+        self._histories[shard].restored = True
+        gevent.spawn(self._settle, shard)
+
+    def _settle(self, shard: int) -> None:
+        history = self._histories[shard]
+        if not history.restored:
+            return
+        offset = self._groups.applied_index(shard)
+        history.restart(offset)
+        if self._subscribers:
+            encoded = self._snapshot(shard)
+            for subscriber in list(self._subscribers.values()):
+                self._send(subscriber, encoded)
+
+    def subscribe(self, connection: Connection, request: Subscribe) -> None:
+        """Brings a router up to date, and sends it all changes from now on."""
+        subscriber = Subscriber(request.node, connection)
+        for shard, history in self._histories.items():
+            self._settle(shard)
+            for encoded in self._missed(shard, history, request.offsets.get(shard, 0)):
+                self._send(subscriber, encoded)
+        if connection.closed:
+            return
+        self._subscribers[connection] = subscriber
+        self._take_census()
+        log.info("feed subscribed node=%s routers=%d", request.node, len(self._subscribers))
+        self._send(subscriber, encode(self._freshness_for(subscriber, self._freshness())))
+
+    def run(self) -> None:
+        """Tells the subscribers how fresh the feed is until the greenlet is killed."""
+        while True:
+            is_fresh = longest(self.send_freshness().quorum_ages) <= FRESH_QUORUM_S
+            gevent.sleep(FRESHNESS_INTERVAL_S if is_fresh else WAITING_INTERVAL_S)
+
+    def send_freshness(self) -> Freshness:
+        """One round of freshness messages; connections that have ended are dropped."""
+        for connection in [each for each in self._subscribers if each.closed]:
+            self._drop(connection)
+        self._take_census()
+        freshness = self._freshness()
+        for subscriber in list(self._subscribers.values()):
+            self._send(subscriber, encode(self._freshness_for(subscriber, freshness)))
+        return freshness
+
+    def _missed(self, shard: int, history: ShardHistory, offset: int) -> list[bytes]:
+        missed = history.since(offset) if offset else None
+        if missed is not None:
+            return missed
+        return [self._snapshot(shard)]
+
+    def _snapshot(self, shard: int) -> bytes:
+        """The encoded state of a shard; many readers that come at once get the same bytes."""
+        offset, now = self._groups.applied_index(shard), monotonic()
+        packed_offset, packed_at, encoded = self._packed.get(shard, (-1, 0.0, b""))
+        if packed_offset != offset or now - packed_at > SNAPSHOT_LASTS_S:
+            encoded = encode(FeedSnapshot(shard, offset, self._packed_state(shard, now)))
+            self._packed[shard] = (offset, now, encoded)
+        return encoded
+
+    def _packed_state(self, shard: int, now: float) -> bytes:
+        if shard == CONFIG_SHARD:
+            return pack_configuration_change(change_to(Configuration(), self._configuration.current.document()))
+        records = self._instances[shard].records.values()
+        return pack_instances_change(InstancesChange(tuple(self._cold.aged(record, now) for record in records)))
+
+    def _freshness(self) -> Freshness:
+        offsets = applied_offsets(self._groups)
+        return Freshness(
+            lags=self._lag.lags(offsets, monotonic()),
+            quorum_ages={shard: self._groups.quorum_age(shard) for shard in ALL_SHARDS},
+            offsets=offsets,
+            controllers=[[ip, port, zone] for (ip, port), zone in self._controllers()],
+            router_count=0,
+            router_rank=0,
+            leaders={shard: list(leader) for shard in ALL_SHARDS if (leader := self._groups.leader(shard))},
+        )
+
+    def _freshness_for(self, subscriber: Subscriber, freshness: Freshness) -> Freshness:
+        freshness.router_count, freshness.router_rank = self._census.place_of(subscriber.node, monotonic())
+        return freshness
+
+    def _take_census(self) -> None:
+        self._census.own({subscriber.node for subscriber in self._subscribers.values()}, monotonic())
+
+    def _send(self, subscriber: Subscriber, encoded: bytes) -> None:
+        try:
+            subscriber.connection.send_encoded(encoded)
+        except ConnectionClosed as error:
+            log.info("feed reader lost node=%s error=%r", subscriber.node, str(error))
+            self._drop(subscriber.connection)
+
+    def _drop(self, connection: Connection) -> None:
+        self._subscribers.pop(connection, None)
+
+
+def _packed_change(result: Any) -> bytes | None:
+    if isinstance(result, Verdict):
+        return None if result.change is None else pack_configuration_change(result.change)
+    if isinstance(result, InstancesChange):
+        return pack_instances_change(result) if result else None
+    return None
