Membership: every router and controller runs SWIM; its routers and controllers are heeded

Controllers count the living routers together with their feeds' readers and report to living controllers that no seed names; routers know controllers and their own count also while no feed is reached. A fall of the count still takes effect late, so that a router that is cut off doesn't take the whole slack of the retry budget.

--- a/ochrespan/control_plane/controller_node.py
+++ b/ochrespan/control_plane/controller_node.py
@@ -78,6 +78,7 @@
             address, zone, groups, self._census, self._lag, self._peers, self._known_addresses
         )
         self._seeds = seeds
+        self._members: frozenset[Address] = frozenset()
         self._quota = QuotaOwner(groups, state.configuration.tenant, quota_bounds)
         self._tasks: list[gevent.Greenlet] = []
         for part in (self.service, self._feed, self._presence, self._quota):
@@ -105,6 +106,11 @@
         self._instance_owner.leadership_changed(shard, is_leader)
         self._quota.leadership_changed(shard, is_leader)
 
+    def members_changed(self, routers: Iterable[str], controllers: Iterable[Address]) -> None:
+        """Membership holds these processes for living."""
+        self._census.members(routers)
+        self._members = frozenset(controllers)
+
     def is_ready(self) -> bool:
         """Whether every shard's group has a majority."""
         return longest({shard: self._groups.quorum_age(shard) for shard in ALL_SHARDS}) <= READY_QUORUM_AGE_S
@@ -134,7 +140,7 @@
         }
 
     def _known_addresses(self) -> set[Address]:
-        return self._groups.voters(CONFIG_SHARD).union(self._seeds())
+        return self._groups.voters(CONFIG_SHARD).union(self._seeds(), self._members)
 
     def _controllers(self) -> list[tuple[Address, str]]:
         return [(self._address, self._zone), *self._census.controllers()]
--- a/ochrespan/control_plane/feed_client.py
+++ b/ochrespan/control_plane/feed_client.py
@@ -8,7 +8,7 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Mapping
 from time import monotonic
 
 import gevent
@@ -68,6 +68,7 @@
         self._offsets: dict[int, int] = {}
         self._lower_since: dict[int, float] = {}  # by shard, since when controllers have had lower offsets
         self._count = RouterCount()
+        self._members = 0  # routers that membership holds for living
         self._complete_since: float | None = None
         self._greenlet: gevent.Greenlet | None = None
 
@@ -84,6 +85,12 @@
         """The settings name other seeds."""
         self._choice.add_seeds(seeds)
 
+    def members_changed(self, routers: Collection[str], controllers: Mapping[Address, str]) -> None:
+        """Membership holds these processes for living; `controllers` gives the zone of each."""
+        self._members = len(routers)
+        self._choice.told(controllers, monotonic())
+        self._take_count(self._members, self._draft.router_rank)
+
     def _run(self) -> None:
         while True:
             address = self._choice.best(monotonic())
@@ -164,11 +171,14 @@
         self.controller = address
         self._choice.succeeded(address)
         if freshness.router_count:
-            count = self._count.told(freshness.router_count, monotonic())
-            self._draft_changed(*with_routers(self._draft, count, freshness.router_rank))
+            self._take_count(max(self._members, freshness.router_count), freshness.router_rank)
         if self.table is None and self._is_complete():
             self._publish(_everything(self._draft))
 
+    def _take_count(self, routers: int, rank: int) -> None:
+        count = self._count.told(routers, monotonic())
+        self._draft_changed(*with_routers(self._draft, count, rank))
+
     def _take_offsets(self, freshness: Freshness, address: Address) -> None:
         """Nothing was missed up to the offsets told. Where the log began anew, the shard is read from its beginning."""
         now, is_current = monotonic(), longest(freshness.quorum_ages) <= OLDEST_QUORUM_S
--- a/ochrespan/control_plane/membership.py
+++ b/ochrespan/control_plane/membership.py
@@ -5,7 +5,7 @@
 import logging
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import gevent
@@ -18,10 +18,13 @@
 from ..transport.codec import message
 from ..transport.tcp import Address, format_address
 from ..transport.udp import DatagramEndpoint
+from .peer_addresses import PeerSettings, peer_address, seed_peer_addresses
 
 log = logging.getLogger(__name__)
 
 SHORTEST_WAIT_S = 0.01
+CONTROLLER_ROLE = "controller"
+ROUTER_ROLE = "router"
 
 
 @message("swim")
@@ -64,6 +67,12 @@
     node: str
 
 
+def membership_settings(settings: PeerSettings, role: str) -> MembershipSettings:
+    """What membership needs of a process's settings."""
+    seeds = tuple(seed_peer_addresses(settings))
+    return MembershipSettings(peer_address(settings), seeds, role, settings["zone"], settings["node"])
+
+
 class MembershipDriver:
     """Keeps the list of the fleet's living processes. `on_change()` runs after each change of it."""
 
@@ -87,6 +96,18 @@
             self._greenlet.kill(block=False)
         self._endpoint.stop()
 
+    def seeds_changed(self, seeds: Iterable[Address]) -> None:
+        """The settings name other seeds."""
+        self._swim.seeds_changed(tuple(seeds))
+
+    def routers(self) -> list[str]:
+        """The names of the living routers."""
+        return [member.node for member in self._swim.alive(ROUTER_ROLE)]
+
+    def controllers(self) -> dict[Address, str]:
+        """The living controllers and their zones."""
+        return {member.address: member.zone for member in self._swim.alive(CONTROLLER_ROLE)}
+
     def alive(self, role: str | None = None) -> list[FleetMember]:
         """The living members of a role, or of all, this process among them."""
         return self._swim.alive(role)
--- a/ochrespan/control_plane/presence.py
+++ b/ochrespan/control_plane/presence.py
@@ -1,4 +1,4 @@
-"""Which routers are live, from the readers of every controller's feed, and which controllers there are."""
+"""Which routers are live, from membership and the feeds' readers, and which controllers there are."""
 
 from __future__ import annotations
 
@@ -39,14 +39,19 @@
         self._settled_at = started + SETTLING_S
         self._own: dict[str, float] = {}  # when each router was last among this controller's readers
         self._reports: dict[Address, _Report] = {}
+        self._members: frozenset[str] = frozenset()
         self._sorted: list[str] = []
 
+    def members(self, routers: Iterable[str]) -> None:
+        """Notes the routers that membership holds for living; `own` counts them from its next call on."""
+        self._members = frozenset(routers)
+
     def own(self, routers: Iterable[str], now: float) -> None:
         """Notes the routers that read this controller's feed now."""
         self._own.update(dict.fromkeys(routers, now))
         self._own = {router: at for router, at in self._own.items() if now - at < REPORT_LASTS_S}
         self._reports = {peer: each for peer, each in self._reports.items() if now - each.at < REPORT_LASTS_S}
-        self._sorted = sorted(set(self._own).union(*(report.routers for report in self._reports.values())))
+        self._sorted = sorted(self._members.union(self._own, *(report.routers for report in self._reports.values())))
 
     def told(self, presence: Presence, now: float) -> None:
         """Notes another controller's report."""
--- a/ochrespan/coordination/swim.py
+++ b/ochrespan/coordination/swim.py
@@ -93,6 +93,10 @@
         changed, self.table.changed = self.table.changed, False
         return changed
 
+    def seeds_changed(self, seeds: tuple[Address, ...]) -> None:
+        """Other seeds hold from now on; the members that are known stay."""
+        self._seeds = tuple(seed for seed in seeds if seed != self.table.own.address)
+
     def leave(self) -> None:
         """Tells some members of the planned end; the others learn it from them."""
         self.table.leave()
--- a/ochrespan/programs/controller.py
+++ b/ochrespan/programs/controller.py
@@ -12,6 +12,7 @@
 from ..control_plane.api import serve_api
 from ..control_plane.checking import CheckFailed, Finding
 from ..control_plane.controller_node import ControllerNode, ControlState
+from ..control_plane.membership import CONTROLLER_ROLE, MembershipDriver, membership_settings
 from ..control_plane.peer_addresses import peer_address, seed_peer_addresses
 from ..control_plane.quota_owner import bounds_from
 from ..control_plane.replica_host import HostSettings, ReplicaHost
@@ -68,6 +69,7 @@
             call_server=self._host.call_server,
             seeds=lambda: seed_peer_addresses(self._settings),
         )
+        self._membership = MembershipDriver(membership_settings(settings, CONTROLLER_ROLE), self._members_changed)
         self._host.on_applied = self._node.applied
         self._host.on_restored = self._node.restored
         self._host.on_leadership = self._node.leadership_changed
@@ -75,16 +77,22 @@
     def settings_changed(self, settings: Settings) -> None:
         """The settings file has changed: other seeds count at once, the rest at the next start."""
         self._settings = settings
+        self._membership.seeds_changed(seed_peer_addresses(settings))
+
+    def _members_changed(self) -> None:
+        self._node.members_changed(self._membership.routers(), self._membership.controllers())
 
     def start(self) -> None:
         """Begins to take part and to listen."""
         self._host.start()
         self._node.start()
+        self._membership.start()
         self._http = serve_api(self._listen, self._node.api)
 
     def stop(self) -> None:
         """Hands over leadership, and ends."""
         with gevent.Timeout(STOP_TIMEOUT_S, False):
+            self._membership.stop()
             self._node.stop()
             self._http.close()
             self._host.stop()
--- a/ochrespan/programs/router.py
+++ b/ochrespan/programs/router.py
@@ -14,6 +14,7 @@
 from ..control_plane.control_service import Peers
 from ..control_plane.feed_client import FeedClient
 from ..control_plane.fleet_table import FleetChange, FleetTable
+from ..control_plane.membership import ROUTER_ROLE, MembershipDriver, membership_settings
 from ..control_plane.peer_addresses import seed_peer_addresses
 from ..control_plane.router_quota import configure_quotas, quota_client_for
 from ..data_plane.router_node import DrainTimes, MachineLimits, RouterNode
@@ -56,6 +57,7 @@
         self._feed = FeedClient(
             settings["node"], settings["zone"], seed_peer_addresses(settings), self._table_changed
         )
+        self._membership = MembershipDriver(membership_settings(settings, ROUTER_ROLE), self._members_changed)
         self._quotas = quota_client_for(settings["node"], settings.get("bounds", {}), self._feed, Peers())
         self._node = RouterNode(
             listen_address(settings, "front"),
@@ -70,6 +72,10 @@
         """Begins to listen and to follow the feed."""
         self._node.start()
         self._feed.start()
+        self._membership.start()
+
+    def _members_changed(self) -> None:
+        self._feed.members_changed(self._membership.routers(), self._membership.controllers())
 
     def _table_changed(self, table: FleetTable, change: FleetChange) -> None:
         if change.tenants or change.routers:
@@ -79,11 +85,14 @@
     def settings_changed(self, settings: Settings) -> None:
         """Takes over what may change while the process runs."""
         self._settings = settings
-        self._feed.seeds_changed(seed_peer_addresses(settings))
+        seeds = seed_peer_addresses(settings)
+        self._feed.seeds_changed(seeds)
+        self._membership.seeds_changed(seeds)
 
     def stop(self) -> None:
         """Ends what runs within the platform's grace, and then the feed."""
         self._node.drain(DrainTimes.within(bound(self._settings, "grace_s", DEFAULT_GRACE_S)))
+        self._membership.stop()
         self._feed.stop()
 
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -240,3 +240,12 @@
         while quotas.take("t", 1.0).epoch in (None, former):
             gevent.idle()
     assert not quotas.take("t", 1e9).allowed and quotas.take("somebody without a limit", 1e9).allowed
+
+
+def test_membership_counts_routers_and_names_controllers_also_while_no_controller_is_reached(world):
+    client = FeedClient("edge-1", "z", [])
+    client.members_changed(["edge-1", "edge-2", "edge-3"], {("10.0.0.9", 7500): "z"})
+    assert client._draft.router_count == 3
+    assert client._choice.best(0.0) == ("10.0.0.9", 7500)
+    client.members_changed(["edge-1"], {})
+    assert client._draft.router_count == 3  # a fall counts after a while
--- a/tests/test_feed_parts.py
+++ b/tests/test_feed_parts.py
@@ -146,3 +146,13 @@
     census = RouterCensus(started=0.0)
     census.own({"b", "d"}, SETTLING_S)
     assert census.place_of(name, SETTLING_S)[0] == 3
+
+
+def test_routers_that_membership_holds_for_living_are_counted_before_they_read_a_feed():
+    census = RouterCensus(started=0.0)
+    census.members(["c", "a"])
+    census.own({"b"}, SETTLING_S)
+    assert census.routers() == ["a", "b", "c"]
+    census.members([])
+    census.own({"b"}, SETTLING_S + 5.0)
+    assert census.routers() == ["b"]
