--- /dev/null
+++ b/benchmarks/core_times.py
@@ -0,0 +1,168 @@
+"""Times of the core with real sockets and disks on this machine: election after a kill, hand-over, an order.
+
+    python -m benchmarks.core_times --rounds 20
+
+Three replica hosts run as processes of their own on loopback addresses; the parent proposes through calls to them.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import signal
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import defopt
+import gevent
+
+from ochrespan.control_plane.replica_host import HostSettings, NotLeader, NoVerdict, ReplicaHost
+from ochrespan.transport import codec, rpc
+
+CALL_S = 1.0
+PAUSE_S = 0.005
+SETTLE_S = 1.5
+
+
+@codec.message("benchmark.propose")
+@dataclass(slots=True)
+class Propose:
+    command: bytes
+
+
+@codec.message("benchmark.taken")
+@dataclass(slots=True)
+class Taken:
+    done: bool
+
+
+class Counter:
+    """A state machine that counts its commands."""
+
+    count = 0
+
+    def apply(self, index: int, command: bytes) -> int:
+        self.count += 1
+        return self.count
+
+    def snapshot(self) -> bytes:
+        return str(self.count).encode()
+
+    def restore(self, data: bytes) -> None:
+        self.count = int(data)
+
+
+def serve(*, number: int, port: int, folder: str) -> int:
+    """One replica host, until SIGTERM.
+
+    :param number: last part of its address
+    :param port: its port
+    :param folder: its disk
+    """
+    seeds = tuple((f"127.0.0.{seed}", port) for seed in (1, 2, 3))
+    host = ReplicaHost(HostSettings(seeds[number - 1], seeds, folder, 64, True, 1, f"core-{number}"), {0: Counter()})
+
+    def propose(request: Propose) -> Taken:
+        try:
+            host.propose(0, request.command, CALL_S)
+        except (NotLeader, NoVerdict):
+            return Taken(False)
+        return Taken(True)
+
+    ended = gevent.event.Event()
+    gevent.signal_handler(signal.SIGTERM, ended.set)
+    host.call_server.on_call(Propose, propose)
+    host.start()
+    ended.wait()
+    host.stop()
+    return 0
+
+
+class Core:
+    """The three processes, and who took the last order."""
+
+    def __init__(self, folder: str) -> None:
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            self._port = sock.getsockname()[1]
+        self._folder = folder
+        self._processes: dict[int, subprocess.Popen] = {}
+        self._callers = {number: rpc.Caller((f"127.0.0.{number}", self._port)) for number in (1, 2, 3)}
+        for number in (1, 2, 3):
+            os.mkdir(f"{folder}/{number}")
+            self.start(number)
+
+    def start(self, number: int) -> None:
+        command = [sys.executable, "-m", "benchmarks.core_times", "serve", "--number", str(number),
+                   "--port", str(self._port), "--folder", f"{self._folder}/{number}"]
+        self._processes[number] = subprocess.Popen(command)
+
+    def end(self, number: int, sent: signal.Signals) -> None:
+        self._processes[number].send_signal(sent)
+
+    def restart(self, number: int) -> None:
+        self._processes[number].wait()
+        self.start(number)
+        gevent.sleep(SETTLE_S)
+
+    def order(self) -> int:
+        """Proposes until a machine has taken the order; its number."""
+        while True:
+            for number, caller in self._callers.items():
+                with contextlib.suppress(rpc.CallFailed):
+                    if caller.call(Propose(b"order"), CALL_S).done:
+                        return number
+            gevent.sleep(PAUSE_S)
+
+    def close(self) -> None:
+        for process in self._processes.values():
+            process.kill()
+            process.wait()
+
+
+def measure(name: str, rounds: int, one: Callable[[], float]) -> None:
+    times = [one() * 1000 for _ in range(rounds)]
+    print(f"{name}: median {statistics.median(times):.1f} ms, largest of {rounds} {max(times):.1f} ms")
+
+
+def main(*, rounds: int = 20) -> int:
+    """Measures each time.
+
+    :param rounds: how often each is measured
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        core = Core(folder)
+        try:
+            leader = core.order()
+            gevent.sleep(SETTLE_S)
+
+            def acknowledgement() -> float:
+                began = time.monotonic()
+                core.order()
+                return time.monotonic() - began
+
+            def after(sent: signal.Signals) -> float:
+                nonlocal leader
+                leader, ended = core.order(), time.monotonic()
+                core.end(leader, sent)
+                core.order()
+                took = time.monotonic() - ended
+                core.restart(leader)
+                return took
+
+            measure("order acknowledged", rounds, acknowledgement)
+            measure("order taken after a kill of the leader", rounds, lambda: after(signal.SIGKILL))
+            measure("order taken after SIGTERM of the leader", rounds, lambda: after(signal.SIGTERM))
+        finally:
+            core.close()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run([main, serve], version=False))
--- /dev/null
+++ b/benchmarks/soak_core.py
@@ -0,0 +1,71 @@
+"""More of what the tests of the core play a little of: seeds of the simulation, and larger searches.
+
+    python -m benchmarks.soak_core run --size 5 --tolerated 2 --first 0 --count 1000
+    python -m benchmarks.soak_core explore --timeouts 2 --crashes 1 --most-states 300000
+
+Both end with status 1 at a violation and tell the seed or the budget that repeats it.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+
+import defopt
+
+from tests.core_sim.search import Budget, search
+from tests.core_sim.troubles import play
+from tests.core_sim.world import World
+
+
+def run(*, size: int = 3, tolerated: int = 1, first: int = 0, count: int = 200, seconds: float = 20.0) -> int:
+    """Plays seeds of the whole core.
+
+    :param size: machines; the seeds name the first three
+    :param tolerated: machines that may be lost at once
+    :param first: first seed
+    :param count: number of seeds
+    :param seconds: virtual seconds of troubles a seed
+    """
+    began, orders, reads, broken = time.monotonic(), 0, 0, 0
+    for seed in range(first, first + count):
+        world = World(seed, size, tolerated)
+        try:
+            play(world, seconds)
+        except AssertionError as violation:
+            broken += 1
+            print(f"seed={seed} {violation}")
+        orders += sum(map(len, world.checks.acked.values()))
+        reads += world.checks.reads
+    took = time.monotonic() - began
+    print(f"seeds={count} broken={broken} orders={orders} reads={reads} seconds={took:.1f}")
+    return 1 if broken else 0
+
+
+def explore(
+    *, timeouts: int = 2, orders: int = 1, crashes: int = 0, wipes: int = 0, cuts: int = 0, changes: int = 0,
+    most_states: int = 100_000,
+) -> int:
+    """Searches every schedule of a budget.
+
+    :param timeouts: campaigns
+    :param orders: commands
+    :param crashes: processes that start again from their disks
+    :param wipes: machines that come back with an empty disk
+    :param cuts: links that are cut for good
+    :param changes: times that a leader may change the members
+    :param most_states: end after this many states
+    """
+    budget = Budget(timeouts, orders, crashes, wipes, cuts, changes)
+    began = time.monotonic()
+    try:
+        found = search(budget, most_states)
+    except AssertionError as violation:
+        print(f"{budget} {violation}")
+        return 1
+    print(f"{budget} {found} seconds={time.monotonic() - began:.1f}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run([run, explore]))
--- /dev/null
+++ b/tests/test_core_search.py
@@ -0,0 +1,44 @@
+"""Bounded exhaustive search of the replica group; the large budgets are played by benchmarks/soak_core.py."""
+
+import pytest
+
+from ochrespan.coordination.configuration import Configuration
+from ochrespan.coordination.core import ReplicaCore
+
+from .core_sim.checks import Violation
+from .core_sim.search import Budget, search
+
+
+@pytest.mark.parametrize(("budget", "states"), [
+    (Budget(timeouts=1, orders=2, crashes=0), 575),
+    (Budget(timeouts=1, orders=1, crashes=1), 1177),
+    (Budget(timeouts=1, orders=2, crashes=0, cuts=1), 2190),
+])
+def test_every_schedule_of_a_small_budget_keeps_the_rules(budget, states):
+    found = search(budget, most_states=10_000)
+    assert found.complete
+    assert found.states == states  # a change of the protocol changes it: look at what became possible
+    assert found.committed == budget.orders + 1
+
+
+@pytest.mark.parametrize("budget", [
+    Budget(timeouts=2, orders=1, crashes=0), Budget(timeouts=2, orders=0, crashes=1),
+    Budget(timeouts=1, orders=1, crashes=0, wipes=1, changes=2),
+])
+def test_the_nearest_schedules_of_a_larger_budget_keep_the_rules(budget):
+    assert search(budget, most_states=1_000).states == 1_000
+
+
+def test_the_search_finds_an_election_by_less_than_a_majority(monkeypatch):
+    monkeypatch.setattr(Configuration, "has_majority",
+                        lambda self, agreeing: any(agreeing(member.id) for member in self.voters))
+    with pytest.raises(Violation, match="two leaders of one term"):
+        search(Budget(timeouts=2, orders=0, crashes=0), most_states=20_000)
+
+
+def test_the_search_finds_an_acknowledgement_before_the_write(monkeypatch):
+    """A follower ends between its acknowledgement and its write, and then elects a leader without the order."""
+    monkeypatch.setattr(ReplicaCore, "send_when_durable", ReplicaCore.send)
+    monkeypatch.setattr(ReplicaCore, "needs_write", lambda self: False)
+    with pytest.raises(Violation):
+        search(Budget(timeouts=2, orders=0, crashes=1), most_states=20_000)
