--- /dev/null
+++ b/tests/test_embedding.py
@@ -0,0 +1,40 @@
+"""The example that embeds the library does what it prints, and the library needs nothing but the standard library."""
+
+import ast
+import sys
+from pathlib import Path
+
+from examples import embed_coordination
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_the_example_loses_its_leader_and_not_its_state(capsys):
+    embed_coordination.main()
+    lines = capsys.readouterr().out.splitlines()
+    assert lines[-1].endswith("both that are left hold green")
+    assert sum("applies" in line and "blue" in line for line in lines) == 3
+    assert sum("applies" in line and "green" in line for line in lines) == 2
+
+
+def imported(path: Path) -> set[str]:
+    """Modules of other packages that a module imports; its own package's come with a leading dot and are left out."""
+    names = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.level != 1:
+            names.add("." * node.level + (node.module or ""))
+    return names
+
+
+def test_coordination_and_storage_import_the_standard_library_alone():
+    for package in ("coordination", "storage"):
+        for path in (ROOT / "ochrespan" / package).glob("*.py"):
+            others = {name for name in imported(path) if name.split(".")[0] not in sys.stdlib_module_names}
+            assert not others, f"{path.name} imports {others}"
+
+
+def test_coordination_and_storage_do_not_read_clocks_or_sockets():
+    for path in (ROOT / "ochrespan" / "coordination").glob("*.py"):
+        assert not imported(path) & {"time", "socket", "os", "threading", "datetime"}, path.name
