--- a/ochrespan/programs/controller.py
+++ b/ochrespan/programs/controller.py
@@ -77,7 +77,9 @@
     def settings_changed(self, settings: Settings) -> None:
         """The settings file has changed: other seeds count at once, the rest at the next start."""
         self._settings = settings
-        self._membership.seeds_changed(seed_peer_addresses(settings))
+        seeds = seed_peer_addresses(settings)
+        self._host.add_seeds(seeds)
+        self._membership.seeds_changed(seeds)
 
     def _members_changed(self) -> None:
         self._node.members_changed(self._membership.routers(), self._membership.controllers())
