--- a/ochrespan/data_plane/router_node.py
+++ b/ochrespan/data_plane/router_node.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -16,19 +17,21 @@
 from .exchange import ExchangeTools
 from .front import Front
 from .ingress import IngressServer
+from .quota_ticket import Quotas
 from .readiness import ReadinessServer
 from .routing_table import RoutingTable
 from .server_pools import ServerPools
 
 if TYPE_CHECKING:
-    from ..control_plane.feed_client import FeedClient
     from ..control_plane.fleet_table import FleetChange, FleetTable
 
 log = logging.getLogger(__name__)
 
 KEPT_DESCRIPTORS = 264  # of the limit: files, listening sockets, the feed
 CLIENT_SHARE = 0.5  # of the other descriptors; the rest is for connections to servers
+BODY_SHARE = 0.2  # of the memory, for the bodies of requests
 DRAINING = "draining"
+CLIENT_CHECK_INTERVAL_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,33 +39,59 @@
     """Seconds from SIGTERM."""
 
     serve_on: float  # the platform sends new connections until it has missed the readiness twice
+    refuse: float  # what has not been sent to a server is refused
     give_up: float  # what still runs is broken off
 
     @classmethod
     def within(cls, grace_s: float) -> DrainTimes:
         """Times that leave room to end before the platform kills the process."""
         give_up = grace_s - min(0.7, 0.2 * grace_s)
-        return cls(min(2.5, 0.4 * give_up), give_up)
+        return cls(min(2.5, 0.4 * give_up), 0.9 * give_up, give_up)
 
 
-class RouterNode:
-    """Serves clients by the latest table. `feed` is given once it exists, since it calls `table_changed`."""
+@dataclass(frozen=True)
+class MachineLimits:
+    """What the machine grants this process."""
+
+    descriptors: int = 1024
+    memory_bytes: int = 256 * 1024 * 1024
+
+    @property
+    def client_connections(self) -> int:
+        """The most connections of clients."""
+        return max(16, int((self.descriptors - KEPT_DESCRIPTORS) * CLIENT_SHARE))
 
-    def __init__(self, front: Address, ready: Address, max_descriptors: int, scheduler: SchedulerLike) -> None:
+    @property
+    def body_bytes(self) -> int:
+        """The most memory for the bodies of requests."""
+        return int(self.memory_bytes * BODY_SHARE)
+
+
+class RouterNode:
+    """Serves clients by the latest table that it was told of."""
+
+    def __init__(
+        self,
+        front: Address,
+        ready: Address,
+        limits: MachineLimits,
+        scheduler: SchedulerLike,
+        quotas: Quotas | None = None,
+        table_is_fresh: Callable[[], bool] = lambda: True,
+    ) -> None:
         deadlines = DeadlineHeap(gevent.get_hub().loop)
         self._dispatcher = Dispatcher(scheduler, deadlines)
         self._pools = ServerPools(deadlines)
-        self._front = Front(ExchangeTools(self._dispatcher, self._pools, deadlines), self._table_is_fresh)
-        max_clients = max(16, int((max_descriptors - KEPT_DESCRIPTORS) * CLIENT_SHARE))
-        self._ingress = IngressServer(front, self._front, deadlines, max_clients)
+        self._front = Front(ExchangeTools(self._dispatcher, self._pools, deadlines), table_is_fresh, quotas)
+        self.ingress = IngressServer(front, self._front, deadlines, limits.client_connections, limits.body_bytes)
         self._readiness = ReadinessServer(ready, self.is_ready)
         self._stopping = False
-        self.feed: FeedClient | None = None
 
     def start(self) -> None:
         """Begins to listen; requests are refused until there is a table."""
         self._readiness.start()
-        self._ingress.start()
+        self.ingress.start()
+        log.info("listening front=%s:%d", *self.ingress.address[:2])
 
     def is_ready(self) -> bool:
         """Whether new connections are welcome: with a table, until the process is told to stop."""
@@ -82,20 +111,22 @@
         """Stops being ready, serves on for a while, lets what runs end, and closes everything in time."""
         started = time.monotonic()
         self._stopping = True
-        log.info("stopping requests=%d connections=%d", self._dispatcher.running, self._ingress.open_connections)
+        log.info("stopping requests=%d connections=%d", self._dispatcher.running, self.ingress.open_connections)
         gevent.sleep(times.serve_on)
-        self._ingress.drain()
-        self._ingress.close()
-        while self._ingress.open_connections and time.monotonic() < started + times.give_up:
-            gevent.sleep(0.05)
-        log.info("stopped requests=%d connections=%d", self._dispatcher.running, self._ingress.open_connections)
-        self._ingress.break_off()
+        self.ingress.drain()
+        self.ingress.close()
+        self._wait_for_clients(started + times.refuse)
+        self._dispatcher.refuse_unsent()
+        self._wait_for_clients(started + times.give_up)
+        log.info("stopped requests=%d connections=%d", self._dispatcher.running, self.ingress.open_connections)
+        self.ingress.break_off()
         self._pools.close()
         gevent.sleep(0)  # requests that were broken off tell their servers
         self._readiness.close()
 
-    def _table_is_fresh(self) -> bool:
-        return self.feed is None or self.feed.controller is not None
+    def _wait_for_clients(self, until: float) -> None:
+        while self.ingress.open_connections and time.monotonic() < until:
+            gevent.sleep(CLIENT_CHECK_INTERVAL_S)
 
 
 def list_servers(table: FleetTable) -> list[Server]:
--- a/ochrespan/programs/router.py
+++ b/ochrespan/programs/router.py
@@ -10,19 +10,30 @@
 import gevent
 from gevent.event import Event
 
-from ..control_plane.checking import CheckFailed
+from ..control_plane.checking import CheckFailed, Finding
+from ..control_plane.control_service import Peers
 from ..control_plane.feed_client import FeedClient
+from ..control_plane.fleet_table import FleetChange, FleetTable
 from ..control_plane.peer_addresses import seed_peer_addresses
-from ..data_plane.router_node import DrainTimes, RouterNode
+from ..control_plane.router_quota import configure_quotas, quota_client_for
+from ..data_plane.router_node import DrainTimes, MachineLimits, RouterNode
 from ..data_plane.scheduler import Scheduler
-from ..transport.tcp import parse_address
+from ..transport.tcp import Address, parse_address
 from .settings import Settings, SettingsFile, bound, settings_path
 
 log = logging.getLogger(__name__)
 
 EXIT_BAD_SETTINGS = 78
 DEFAULT_GRACE_S = 8.0
-DEFAULT_MAX_DESCRIPTORS = 1024
+DEFAULT_MEMORY_MB = 256
+BYTES_PER_MB = 1_000_000
+
+
+def listen_address(settings: Settings, name: str) -> Address:
+    """Where the router listens for clients (`front`) or for the platform (`ready`); raises CheckFailed."""
+    if name not in settings["listen"]:
+        raise CheckFailed([Finding(f"listen.{name}", "nothing", "IP:PORT")])
+    return parse_address(settings["listen"][name])
 
 
 class Router:
@@ -36,22 +47,35 @@
             bound(settings, "budget_slack", 0),
             bound(settings, "budget_window_s", 10),
         )
-        listen = settings["listen"]
-        max_descriptors = settings.get("limits", {}).get("max_fds", DEFAULT_MAX_DESCRIPTORS)
-        self._settings = settings
-        self._node = RouterNode(
-            parse_address(listen["front"]), parse_address(listen["ready"]), max_descriptors, scheduler
+        limits = settings.get("limits", {})
+        granted = MachineLimits(
+            limits.get("max_fds", MachineLimits.descriptors),
+            int(limits.get("memory_mb", DEFAULT_MEMORY_MB) * BYTES_PER_MB),
         )
+        self._settings = settings
         self._feed = FeedClient(
-            settings["node"], settings["zone"], seed_peer_addresses(settings), self._node.table_changed
+            settings["node"], settings["zone"], seed_peer_addresses(settings), self._table_changed
+        )
+        self._quotas = quota_client_for(settings["node"], settings.get("bounds", {}), self._feed, Peers())
+        self._node = RouterNode(
+            listen_address(settings, "front"),
+            listen_address(settings, "ready"),
+            granted,
+            scheduler,
+            self._quotas,
+            table_is_fresh=lambda: self._feed.controller is not None,
         )
-        self._node.feed = self._feed
 
     def start(self) -> None:
         """Begins to listen and to follow the feed."""
         self._node.start()
         self._feed.start()
 
+    def _table_changed(self, table: FleetTable, change: FleetChange) -> None:
+        if change.tenants or change.routers:
+            configure_quotas(self._quotas, table)
+        self._node.table_changed(table, change)
+
     def settings_changed(self, settings: Settings) -> None:
         """Takes over what may change while the process runs."""
         self._settings = settings
@@ -77,12 +101,12 @@
 
     try:
         settings_file = SettingsFile(settings_path(), settings_changed)
+        router = Router(settings_file.current)
     except CheckFailed as error:
         for finding in error.findings:
             log.error("settings refused where=%r found=%r allowed=%r", finding.where, finding.found, finding.allowed)
         return EXIT_BAD_SETTINGS
     gevent.signal_handler(signal.SIGHUP, settings_file.reload)
-    router = Router(settings_file.current)
     router.start()
     gevent.spawn(settings_file.watch)
     ended.wait()
