Object API: front split into call, errors and routing; names and doc comments

Errors that stood several times became not_implemented and invalid_argument, the list form of a part Part.row, the check of a contract's class one method; Broken, Window, Place and Piece became StorageFailed, TaskWindow, ChunkLocation and ChunkSlice. Answers on the wire are unchanged, and one test follows a method's new name.

--- /dev/null
+++ b/ochrespan/objects/call.py
@@ -0,0 +1,124 @@
+"""One request of the object API, read and checked: bucket, key, contract, parameters, body."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import binascii
+from collections.abc import AsyncIterator, Mapping
+from contextlib import aclosing
+from datetime import datetime, timedelta
+from urllib.parse import parse_qsl, unquote
+
+from ..contracts.gate import ContractGate
+from ..contracts.terms import Contract
+from ..exchange import Exchange
+from ..requests import NotCovered
+from . import layout
+from .errors import ApiError, denied, invalid_argument, not_implemented
+from .section import Objects
+from .store import Scope
+
+MAX_XML_BYTES = 256 * 1024  # of a body that is a document
+MAX_METADATA_BYTES = 2048  # of the client's own headers on an object
+MAX_KEY_BYTES = 1024
+MAX_CONTENT_TYPE = 256  # characters that are kept
+MAX_EXPIRY_MS = 86_400_000  # a day
+MD5_BYTES = 16
+
+
+class Call:
+    """One request: whose it is, its parameters and its body."""
+
+    def __init__(self, request: Exchange, objects: Objects, gate: ContractGate) -> None:
+        """Raises `ApiError` where the request cannot be read or is no contract's."""
+        path, _, query = request.target.partition("?")
+        bucket, _, key = path.lstrip("/").partition("/")
+        try:
+            bucket, key = unquote(bucket, errors="strict"), unquote(key, errors="strict")
+        except UnicodeDecodeError:
+            raise ApiError(400, "InvalidURI", "The path is not UTF-8.") from None
+        self.request, self._idle_timeout = request, objects.idle_timeout
+        self.query = dict(parse_qsl(query, keep_blank_values=True))
+        if not key:
+            raise not_implemented("Only objects are served, not lists of them.")
+        if len(key.encode()) > MAX_KEY_BYTES:
+            raise ApiError(400, "KeyTooLongError", "Your key is too long.")
+        contract = self._contract(gate, bucket)
+        self.scope = Scope(contract, gate.owner(bucket), bucket, key, self._deadline())
+        self.resource = path
+
+    def _contract(self, gate: ContractGate, bucket: str) -> Contract:
+        scheme, _, token = self.request.headers.get("Authorization", "").partition(" ")
+        contract = gate.identify(token.strip() if scheme.lower() == "bearer" else "", bucket)
+        if isinstance(contract, NotCovered):
+            if contract.rule == "bucket" and not contract.team:
+                raise ApiError(404, "NoSuchBucket", "The specified bucket does not exist.")
+            raise denied(contract.rule)
+        return contract
+
+    def _deadline(self) -> datetime | None:
+        """The client's own deadline, where it sent one."""
+        header = self.request.headers.get("X-Expires-In-Ms")
+        if header is None:
+            return None
+        if not header.isdecimal() or int(header) > MAX_EXPIRY_MS:
+            raise invalid_argument("X-Expires-In-Ms is not a number of milliseconds.")
+        return layout.now() + timedelta(milliseconds=int(header))
+
+    def part_number(self) -> int:
+        """Which part of an upload is sent."""
+        number = self.query.get("partNumber", "")
+        if not number.isdecimal() or not 1 <= int(number) <= layout.MOST_PARTS:
+            raise invalid_argument(f"Part number must be 1 to {layout.MOST_PARTS}.")
+        return int(number)
+
+    def description(self) -> tuple[str, dict[str, str]]:
+        """The content type and the client's own words on the object."""
+        headers = self.request.headers
+        meta = {name.lower(): value for name, value in headers.items() if name.lower().startswith("x-amz-meta-")}
+        if sum(len(name) + len(value) for name, value in meta.items()) > MAX_METADATA_BYTES:
+            raise ApiError(400, "MetadataTooLarge", "Your metadata headers are too large.")
+        return headers.get("Content-Type", layout.DEFAULT_CONTENT_TYPE)[:MAX_CONTENT_TYPE], meta
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """The body in chunk-sized payloads; a client that stops sending is let go."""
+        held = bytearray()
+        while True:
+            try:
+                async with asyncio.timeout(self._idle_timeout.total_seconds()):
+                    some = await self.request.read_some()
+            except TimeoutError:
+                raise ApiError(400, "RequestTimeout", "Your connection was idle for too long.") from None
+            if not some:
+                break
+            held += some
+            while len(held) >= layout.PAYLOAD:
+                yield bytes(held[:layout.PAYLOAD])
+                del held[:layout.PAYLOAD]
+        if held:
+            yield bytes(held)
+
+    async def document(self) -> bytes:
+        """A body that is a small XML document, whole."""
+        parts, size = [], 0
+        async with aclosing(self.body()) as body:
+            async for some in body:
+                parts.append(some)
+                size += len(some)
+                if size > MAX_XML_BYTES:
+                    raise ApiError(400, "MalformedXML", "The body is too long.")
+        return b"".join(parts)
+
+
+def expected_md5(headers: Mapping[str, str]) -> str | None:
+    """The digest in hex that the client sent with its body; None: it sent none."""
+    if (header := headers.get("Content-MD5")) is None:
+        return None
+    try:
+        digest = base64.b64decode(header, validate=True)
+    except (binascii.Error, ValueError):
+        digest = b""
+    if len(digest) != MD5_BYTES:
+        raise ApiError(400, "InvalidDigest", "The Content-MD5 you specified is not valid.")
+    return digest.hex()
--- a/ochrespan/objects/conditions.py
+++ b/ochrespan/objects/conditions.py
@@ -16,6 +16,8 @@
 
 
 class Verdict(Enum):
+    """What conditions make of a read, by its status."""
+
     GO = 200
     NOT_MODIFIED = 304
     FAILED = 412
@@ -38,6 +40,7 @@
 
 
 def http_date(at: datetime) -> str:
+    """A time as headers have it, in whole seconds."""
     return format_datetime(at.astimezone(UTC).replace(microsecond=0), usegmt=True)
 
 
@@ -53,11 +56,12 @@
 
 
 def names_etag(header: str, etag: str) -> bool:
+    """Whether a list of ETags has this one, or stands for any."""
     tags = [tag.strip().removeprefix("W/").strip('"') for tag in header.split(",")]
     return "*" in tags or etag in tags
 
 
-def judge(headers: Mapping[str, str], etag: str, modified: datetime) -> Verdict:
+def evaluate(headers: Mapping[str, str], etag: str, modified: datetime) -> Verdict:
     """What a read's conditions say of an object; an ETag's word goes before a date's."""
     modified = modified.replace(microsecond=0)
     if (header := headers.get("If-Match")) is not None:
--- a/ochrespan/objects/layout.py
+++ b/ochrespan/objects/layout.py
@@ -15,11 +15,12 @@
 from datetime import UTC, datetime
 from typing import Any
 
-MOST_BODY = 64 * 1024  # of a chunk server's body
-SEAL = 16
-PAYLOAD = MOST_BODY - SEAL
+MOST_BODY = 64 * 1024  # bytes of a chunk server's body
+SEAL = 16  # bytes of the digest before a chunk's payload
+PAYLOAD = MOST_BODY - SEAL  # bytes of an object in one chunk
 MOST_PARTS = 1000  # so that the part list fits into the manifest's one chunk
-MOST_RECORD = 8 * MOST_BODY  # a record's text once unpacked
+MOST_RECORD = 8 * MOST_BODY  # bytes of a record's text once unpacked
+DEFAULT_CONTENT_TYPE = "binary/octet-stream"  # S3's own, where a client names none
 
 Names = tuple[str, ...]
 
@@ -33,28 +34,33 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Place:
+class ChunkLocation:
+    """The volume, key and shard under which a chunk is stored."""
+
     volume: str
     key: str
     shard: int
 
     @property
     def target(self) -> str:
+        """The request target at its chunk server."""
         return f"/api/{self.volume}/{self.key}"
 
 
-def place(team: str, names: Names, shards: int) -> Place:
+def locate(team: str, names: Names, shards: int) -> ChunkLocation:
     """Where a chunk of this name lies: the same at every front."""
-    spot = _digest(names, 16)
-    shard = int.from_bytes(spot[8:]) % max(1, shards)
-    return Place(_digest(("team", team), 8).hex(), spot[:8].hex(), shard)
+    digest = _digest(names, 16)
+    shard = int.from_bytes(digest[8:]) % max(1, shards)
+    return ChunkLocation(_digest(("team", team), 8).hex(), digest[:8].hex(), shard)
 
 
 def seal(names: Names, payload: bytes) -> bytes:
+    """The chunk's body: a keyed digest of the payload under its name, then the payload."""
     return hashlib.blake2b(payload, digest_size=SEAL, key=_digest(names, 32)).digest() + payload
 
 
 def unseal(names: Names, body: bytes) -> bytes:
+    """The payload; raises `Corrupt` unless the body is whole and of this name."""
     payload = body[SEAL:]
     if not hmac.compare_digest(seal(names, payload)[:SEAL], body[:SEAL]):
         raise Corrupt("the seal does not match")
@@ -62,10 +68,12 @@
 
 
 def pack(record: Any) -> bytes:
+    """A record as a chunk's payload."""
     return zlib.compress(json.dumps(record, separators=(",", ":")).encode())
 
 
 def unpack(payload: bytes) -> Any:
+    """The record again; raises `Corrupt` where it would grow beyond its bound."""
     unpacker = zlib.decompressobj()
     text = unpacker.decompress(payload, MOST_RECORD)
     if unpacker.unconsumed_tail:
@@ -83,14 +91,14 @@
     generation: str  # of the chunks that hold it
     modified_ms: int = 0
 
-    @property
-    def chunks(self) -> int:
-        return -(-self.size // PAYLOAD)
+    def row(self) -> list[Any]:
+        """The part as it stands in a record; `Part(*row)` is the part again."""
+        return list(asdict(self).values())
 
 
 @dataclass(frozen=True, slots=True)
-class Piece:
-    """What one chunk gives to a read."""
+class ChunkSlice:
+    """The bytes that one chunk gives to a read."""
 
     part: Part
     index: int
@@ -105,38 +113,43 @@
 
 @dataclass(slots=True)
 class Manifest:
+    """The record that makes stored parts an object: its parts in order, and what a read tells of it."""
+
     etag: str
     modified: datetime
     parts: list[Part]
-    content_type: str = "binary/octet-stream"
+    content_type: str = DEFAULT_CONTENT_TYPE
     meta: dict[str, str] = field(default_factory=dict)
     deleted: bool = False
 
     @property
     def size(self) -> int:
+        """Bytes of the whole object."""
         return sum(part.size for part in self.parts)
 
-    def pieces(self, begin: int, end: int) -> Iterator[Piece]:
+    def slices(self, begin: int, end: int) -> Iterator[ChunkSlice]:
         """The chunks that hold the bytes from begin up to, without, end; in order."""
         at = 0
         for part in self.parts:
             low, high = max(begin - at, 0), min(end - at, part.size)
             for index in range(low // PAYLOAD, -(-high // PAYLOAD) if high > low else 0):
                 start = index * PAYLOAD
-                yield Piece(part, index, max(low - start, 0), min(high - start, PAYLOAD))
+                yield ChunkSlice(part, index, max(low - start, 0), min(high - start, PAYLOAD))
             at += part.size
 
     def encode(self) -> bytes:
+        """The payload of the manifest's chunk."""
         record = {
             "v": 1, "etag": self.etag, "modified": self.modified.isoformat(), "type": self.content_type,
-            "meta": self.meta, "deleted": self.deleted, "parts": [list(asdict(p).values()) for p in self.parts],
+            "meta": self.meta, "deleted": self.deleted, "parts": [part.row() for part in self.parts],
         }
         return pack(record)
 
     @classmethod
     def decode(cls, payload: bytes) -> Manifest:
+        """The manifest of such a payload."""
         got = unpack(payload)
-        return cls(got["etag"], datetime.fromisoformat(got["modified"]), [Part(*p) for p in got["parts"]],
+        return cls(got["etag"], datetime.fromisoformat(got["modified"]), [Part(*row) for row in got["parts"]],
                    got["type"], got["meta"], got["deleted"])
 
 
@@ -147,20 +160,25 @@
 
 
 def now() -> datetime:
+    """The time of day in UTC."""
     return datetime.now(UTC)
 
 
 def manifest_names(bucket: str, key: str) -> Names:
+    """The chunk of an object's manifest."""
     return ("manifest", bucket, key)
 
 
 def data_names(bucket: str, key: str, part: Part, index: int) -> Names:
+    """A chunk of a part's data."""
     return ("data", bucket, key, part.generation, str(part.number), str(index))
 
 
 def upload_names(bucket: str, key: str, upload: str) -> Names:
+    """The chunk of an upload's own record."""
     return ("upload", bucket, key, upload)
 
 
 def index_names(bucket: str, key: str, upload: str, front: int) -> Names:
+    """The chunk in which one front lists the parts of an upload that came through it."""
     return ("parts", bucket, key, upload, str(front))
--- a/ochrespan/objects/section.py
+++ b/ochrespan/objects/section.py
@@ -16,6 +16,8 @@
 
 
 class ObjectsTable(Table):
+    """The table as it is written."""
+
     listen: str
     export_from_bytes: Bytes = 1024 * 1024
     least_part_bytes: Bytes = 5 * 1024 * 1024
@@ -24,15 +26,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Objects:
+    """What the operator's file says of the object API, checked."""
+
     listen: tuple[str, int]
     export_from: int  # bytes from which a read runs as an export
     least_part: int  # bytes of every part of an upload but the last
-    patience: timedelta  # for a client that stops sending
+    idle_timeout: timedelta  # for a client that stops sending
 
 
 def read(
     tables: Mapping[str, Any], settings: api.Settings, faults: Faults, earlier: Mapping[str, Any]
 ) -> Objects | None:
+    """The checked section; None where the table cannot be read. Faults are collected in `faults`."""
     told = table(ObjectsTable, tables["objects"], "[objects]", faults)
     contracts = earlier.get("contracts")
     if contracts is None or not contracts.book.by_bucket:
--- a/ochrespan/objects/uploads.py
+++ b/ochrespan/objects/uploads.py
@@ -10,18 +10,18 @@
 import secrets
 from collections import OrderedDict
 from contextlib import suppress
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 from typing import Any
 
 from . import layout
 from .layout import Manifest, Part
-from .store import Broken, ChunkStore, Expired, Scope, Unavailable
+from .store import ChunkStore, Expired, Scope, StorageFailed, Unavailable
 
-MOST_LOCKS = 1000
+MAX_LOCKS = 1000  # uploads whose lock is kept; beyond, the longest unused goes
 
 
 class NoSuchUpload(Exception):
-    pass
+    """The upload was never created, or has been completed or aborted."""
 
 
 class BadPart(Exception):
@@ -34,12 +34,16 @@
 
 @dataclass(slots=True)
 class Upload:
+    """One open upload and what the object is to be."""
+
     id: str
     content_type: str
     meta: dict[str, str] = field(default_factory=dict)
 
 
 class Uploads:
+    """Multipart uploads of one front."""
+
     def __init__(self, store: ChunkStore, front: int, fronts: int, least_part: int) -> None:
         self._store, self._front, self._fronts = store, front, max(1, fronts, front + 1)
         self._least_part = least_part
@@ -49,11 +53,12 @@
         """One writer at a time for this front's list of an upload's parts."""
         lock = self._locks.setdefault(upload, asyncio.Lock())
         self._locks.move_to_end(upload)
-        while len(self._locks) > MOST_LOCKS and not next(iter(self._locks.values())).locked():
+        while len(self._locks) > MAX_LOCKS and not next(iter(self._locks.values())).locked():
             self._locks.popitem(last=False)
         return lock
 
     async def create(self, scope: Scope, content_type: str, meta: dict[str, str]) -> str:
+        """Opens an upload and returns its id."""
         upload = secrets.token_hex(16)
         await self._mark(scope, Upload(upload, content_type, meta), "open")
         return upload
@@ -64,6 +69,7 @@
         await self._store.write_record(scope, names, record)
 
     async def find(self, scope: Scope, upload: str) -> Upload:
+        """The open upload of this id, or `NoSuchUpload`."""
         record = await self._store.read_record(scope, layout.upload_names(scope.bucket, scope.key, upload))
         if record is None or record["state"] != "open":
             raise NoSuchUpload(upload)
@@ -73,9 +79,9 @@
         """Makes a stored part known."""
         names = layout.index_names(scope.bucket, scope.key, upload, self._front)
         async with self._lock(upload):
-            mine = await self._read_index(scope, upload, self._front)
-            mine[part.number] = part
-            await self._store.write_record(scope, names, [list(asdict(p).values()) for p in mine.values()])
+            parts = await self._read_index(scope, upload, self._front)
+            parts[part.number] = part
+            await self._store.write_record(scope, names, [part.row() for part in parts.values()])
 
     async def _read_index(self, scope: Scope, upload: str, front: int) -> dict[int, Part]:
         names = layout.index_names(scope.bucket, scope.key, upload, front)
@@ -83,6 +89,7 @@
         return {part.number: part for part in (Part(*entry) for entry in record)}
 
     async def parts(self, scope: Scope, upload: str) -> dict[int, Part]:
+        """All parts by number, whichever front they came through."""
         reads = (self._read_index(scope, upload, front) for front in range(self._fronts))
         found: dict[int, Part] = {}
         for index in await asyncio.gather(*reads):
@@ -92,8 +99,18 @@
         return dict(sorted(found.items()))
 
     async def complete(self, scope: Scope, upload: str, wanted: list[tuple[int, str]]) -> Manifest:
+        """Makes the named parts the object, in this order; raises `BadPart` where they cannot be."""
         opened = await self.find(scope, upload)
-        have = await self.parts(scope, upload)
+        chosen = self._choose(await self.parts(scope, upload), wanted)
+        manifest = Manifest(layout.etag_of_parts(chosen), layout.now(), chosen, opened.content_type, opened.meta)
+        await self._store.commit(scope, manifest)
+        # the object stands from here on: a mark that cannot be made must not turn that into a failure
+        with suppress(Unavailable, StorageFailed, Expired):
+            await self._mark(scope, opened, "complete")
+        return manifest
+
+    def _choose(self, have: dict[int, Part], wanted: list[tuple[int, str]]) -> list[Part]:
+        """The parts that a client names by number and ETag, checked."""
         numbers = [number for number, _ in wanted]
         if not wanted or len(wanted) > layout.MOST_PARTS:
             raise BadPart("MalformedXML", f"name 1 to {layout.MOST_PARTS} parts")
@@ -106,12 +123,8 @@
             chosen.append(have[number])
         if any(part.size < self._least_part for part in chosen[:-1]):
             raise BadPart("EntityTooSmall", f"every part but the last needs {self._least_part} bytes")
-        manifest = Manifest(layout.etag_of_parts(chosen), layout.now(), chosen, opened.content_type, opened.meta)
-        await self._store.commit(scope, manifest)
-        # the object stands from here on: a mark that cannot be made must not turn that into a failure
-        with suppress(Unavailable, Broken, Expired):
-            await self._mark(scope, opened, "complete")
-        return manifest
+        return chosen
 
     async def abort(self, scope: Scope, upload: str) -> None:
+        """Ends an upload without an object."""
         await self._mark(scope, await self.find(scope, upload), "aborted")
--- a/ochrespan/objects/xml.py
+++ b/ochrespan/objects/xml.py
@@ -7,16 +7,17 @@
 from defusedxml import ElementTree as SafeTree
 from defusedxml.common import DefusedXmlException
 
-SPACE = "http://s3.amazonaws.com/doc/2006-03-01/"
+NAMESPACE = "http://s3.amazonaws.com/doc/2006-03-01/"
 
 Child = tuple[str, "str | list[Child]"]
 
 
 class BadXml(ValueError):
-    pass
+    """A document that cannot be read as what it should be."""
 
 
-def render(root: str, children: list[Child], space: str = SPACE) -> bytes:
+def render(root: str, children: list[Child], namespace: str = NAMESPACE) -> bytes:
+    """A document: each child a name with its text, or with children of its own."""
     def fill(element: ElementTree.Element, entries: list[Child]) -> None:
         for name, value in entries:
             child = ElementTree.SubElement(element, name)
@@ -25,7 +26,7 @@
             else:
                 fill(child, value)
 
-    top = ElementTree.Element(root, {"xmlns": space} if space else {})
+    top = ElementTree.Element(root, {"xmlns": namespace} if namespace else {})
     fill(top, children)
     return ElementTree.tostring(top, encoding="utf-8", xml_declaration=True)
 
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -76,7 +76,7 @@
     manifest = Manifest("", layout.now(), parts)
     begin, end = sorted(round(c * manifest.size) for c in cut)
     at = begin
-    for piece in manifest.pieces(begin, end):
+    for piece in manifest.slices(begin, end):
         start = sum(p.size for p in parts[:piece.part.number - 1]) + piece.index * layout.PAYLOAD
         assert start + piece.begin == at and piece.begin < piece.end <= piece.length <= layout.PAYLOAD
         at = start + piece.end
