Contracts: standard names for lending, timers and shares; free ports in one place

Pot, Alarms, loose and Part were words of our own: they are LendingPool, TimerQueue, unassigned and FrontShare (front_share.py); the stand-in Room of the examples is a Testbed. free_port stood twice, in the examples and in the tests' world, and is examples/ports.py now. The operator's key parts = "heard", metrics' names and decisions are unchanged.

--- a/benchmarks/admission_cost.py
+++ b/benchmarks/admission_cost.py
@@ -20,7 +20,7 @@
 import time
 from pathlib import Path
 
-from examples.teams import TEAMS, Room, play
+from examples.teams import TEAMS, Testbed, play
 from ochrespan.contracts.admission import Admission, Demand, Grant
 from ochrespan.contracts.terms import Book, Budget, Contract, Reserve, Terms
 
@@ -70,11 +70,11 @@
 
 async def request_cost() -> float:
     """Seconds of a front's processor time for one request of teams within their contracts."""
-    async with Room(1, slots=100) as room:
+    async with Testbed(1, slots=100) as testbed:
         await asyncio.sleep(1.5)
-        before = cpu_of(room.processes[0].pid)
-        found = await play(room, TEAMS, 10.0)
-        spent = cpu_of(room.processes[0].pid) - before
+        before = cpu_of(testbed.processes[0].pid)
+        found = await play(testbed, TEAMS, 10.0)
+        spent = cpu_of(testbed.processes[0].pid) - before
     return spent / sum(got.asked for got in found.values())
 
 
--- a/benchmarks/front_parts.py
+++ b/benchmarks/front_parts.py
@@ -15,7 +15,7 @@
 from collections import deque
 
 from ochrespan.contracts.admission import Admission, Demand, Grant
-from ochrespan.contracts.parts import Part
+from ochrespan.contracts.front_share import FrontShare
 from ochrespan.contracts.terms import Book, Budget, Contract, Terms
 
 from .machine import machine
@@ -29,7 +29,7 @@
         book.add(Contract(Terms("a", "team", budget=Budget(units_per_s=RATE)), "gold", frozenset({"read"})))
         book.own("a", ["v"], ())
         self.admission = Admission(book, 0.0)
-        self.part = Part(RATE, fronts) if parts == "heard" else None
+        self.part = FrontShare(RATE, fronts) if parts == "heard" else None
         self.told = 0.0  # of what all were served, as of its last answer
         self.mine = 0.0  # of that, its own
 
--- a/benchmarks/http2_load.py
+++ b/benchmarks/http2_load.py
@@ -17,7 +17,8 @@
 
 import aiohttp
 
-from examples.teams import Room, free_port
+from examples.ports import free_port
+from examples.teams import Testbed
 from tests.h2client import Client
 
 from .admission_cost import cpu_of
@@ -63,23 +64,23 @@
     return counts[0], counts[1]
 
 
-async def throughput(room: Room, port: int, seconds: float, rounds: int) -> None:
+async def throughput(testbed: Testbed, port: int, seconds: float, rounds: int) -> None:
     numbers = iter(range(10**9))
     path = f"/api/{VOLUME}/{0:016x}"
-    for server in room.servers:
+    for server in testbed.servers:
         server.kept[path] = b"photo"
     found: dict[tuple[int, str], list[tuple[float, float]]] = {}
     for _ in range(rounds):
         for at_once in (1, 10, 100):
             async def measure(name: str, ask, at_once=at_once) -> None:
-                before = cpu_of(room.processes[0].pid)
+                before = cpu_of(testbed.processes[0].pid)
                 asked, _ = await many(ask, at_once, seconds)
-                spent = cpu_of(room.processes[0].pid) - before
+                spent = cpu_of(testbed.processes[0].pid) - before
                 found.setdefault((at_once, name), []).append((asked / seconds, spent / asked * 1e3))
 
             async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
                 async def plain(session=session) -> int:
-                    url = f"http://127.0.0.1:{room.ports[0]}{path}"
+                    url = f"http://127.0.0.1:{testbed.ports[0]}{path}"
                     async with session.get(url, headers=headers(next(numbers))) as answer:
                         await answer.read()
                         return answer.status
@@ -129,8 +130,8 @@
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder, "operator.toml")
         path.write_text(operator(platform, objects, free_port()))
-        async with Room(1, slow=0.0, slots=100, operator=path) as room:
-            await throughput(room, platform, seconds, rounds)
+        async with Testbed(1, slow=0.0, slots=100, operator=path) as testbed:
+            await throughput(testbed, platform, seconds, rounds)
             await latency(objects, seconds)
 
 
--- a/benchmarks/startup.py
+++ b/benchmarks/startup.py
@@ -19,7 +19,7 @@
 import urllib.request
 from pathlib import Path
 
-from examples.teams import free_port
+from examples.ports import free_port
 
 from .machine import machine
 
--- a/benchmarks/teams_run.py
+++ b/benchmarks/teams_run.py
@@ -15,7 +15,7 @@
 import tempfile
 from pathlib import Path
 
-from examples.teams import Room, Team, play
+from examples.teams import Team, Testbed, play
 
 from .machine import machine
 
@@ -54,9 +54,9 @@
         path = Path(folder, "operator.toml")
         path.write_text(OPERATOR)
         shares: dict[str, list[float]] = {"alone": [], "beside the surge": [], "without contracts": []}
-        async with Room(fronts, slow=0.02, slots=1, operator=path) as room:
+        async with Testbed(fronts, slow=0.02, slots=1, operator=path) as testbed:
             await asyncio.sleep(2)
-            found = await play(room, (QUIET, EAGER, FLOOD), seconds)
+            found = await play(testbed, (QUIET, EAGER, FLOOD), seconds)
             for team in (QUIET, EAGER, FLOOD):
                 got = found[team.name]
                 asked = got.asked * 2 / seconds
@@ -70,11 +70,11 @@
                       f"refused {got.statuses[503]}, in time {got.in_time / max(1, got.asked):.1%}", flush=True)
             for pair in range(pairs):
                 for words, teams in (("alone", (QUIET,)), ("beside the surge", (QUIET, FLOOD, EAGER))):
-                    got = (await play(room, teams, seconds / 4, seed=pair + 2))["quiet"]
+                    got = (await play(testbed, teams, seconds / 4, seed=pair + 2))["quiet"]
                     shares[words].append(got.in_time / got.asked)
-        async with Room(fronts, slow=0.02, slots=1, operator=None) as room:
+        async with Testbed(fronts, slow=0.02, slots=1, operator=None) as testbed:
             for pair in range(pairs):
-                got = (await play(room, (QUIET, FLOOD, EAGER), seconds / 4, seed=pair + 2))["quiet"]
+                got = (await play(testbed, (QUIET, FLOOD, EAGER), seconds / 4, seed=pair + 2))["quiet"]
                 shares["without contracts"].append(got.in_time / got.asked)
     for words, got in shares.items():
         print(f"the quiet team's share in time, {words}: median {statistics.median(got):.1%} "
--- a/examples/teams.py
+++ b/examples/teams.py
@@ -13,7 +13,6 @@
 import json
 import os
 import random
-import socket
 import sys
 import tempfile
 from collections import Counter
@@ -25,6 +24,7 @@
 import aiohttp
 from aiohttp import web
 
+from .ports import free_port
 from .toy import ChunkServer, Discovery
 
 HERE = Path(__file__).parent
@@ -32,14 +32,6 @@
 SLACK = 0.02  # of what a contract says: what a run of seconds cannot tell
 
 
-def free_port() -> int:
-    while True:
-        port = random.SystemRandom().randrange(11_000, 31_000)
-        with socket.socket() as probe, suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            return port
-
-
 @dataclass
 class Team:
     """A stand-in for a team's service: requests at a steady rate, whatever becomes of them."""
@@ -80,7 +72,7 @@
         return self.statuses[200] * UNITS / self.seconds
 
 
-class Room:
+class Testbed:
     """Chunk servers and discovery in this process, fronts in processes of their own."""
 
     def __init__(self, fronts: int = 1, servers: int = 3, slow: float = 0.01, slots: int = 4,
@@ -91,7 +83,7 @@
         self.processes: list[asyncio.subprocess.Process] = []
         self._stack = AsyncExitStack()
 
-    async def __aenter__(self) -> Room:
+    async def __aenter__(self) -> Testbed:
         loop = asyncio.get_running_loop()
         folder = self._stack.enter_context(tempfile.TemporaryDirectory())
         for server in self.servers:
@@ -133,42 +125,42 @@
         await self._stack.aclose()
 
 
-async def play(room: Room, teams: tuple[Team, ...], seconds: float, seed: int = 1) -> dict[str, Got]:
+async def play(testbed: Testbed, teams: tuple[Team, ...], seconds: float, seed: int = 1) -> dict[str, Got]:
     """All teams at once for so long; each request goes to a front by lot."""
     loop = asyncio.get_running_loop()
     found = {team.name: Got(seconds=seconds) for team in teams}
     async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session, asyncio.TaskGroup() as tasks:
         for team in teams:
             lot = random.Random(f"{seed} {team.name}")
-            tasks.create_task(_send(room, team, found[team.name], lot, loop.time() + seconds, session, tasks))
+            tasks.create_task(_send(testbed, team, found[team.name], lot, loop.time() + seconds, session, tasks))
     return found
 
 
-async def _send(room: Room, team: Team, got: Got, lot: random.Random, until: float,
+async def _send(testbed: Testbed, team: Team, got: Got, lot: random.Random, until: float,
                 session: aiohttp.ClientSession, tasks: asyncio.TaskGroup) -> None:
     loop = asyncio.get_running_loop()
     at = loop.time() + lot.random() / team.rate
     while at < until:
         await asyncio.sleep(max(0.0, at - loop.time()))
         got.asked += 1
-        tasks.create_task(_one(room, team, got, lot, session))
+        tasks.create_task(_one(testbed, team, got, lot, session))
         at += 1 / team.rate
 
 
-async def _one(room: Room, team: Team, got: Got, lot: random.Random, session: aiohttp.ClientSession) -> None:
+async def _one(testbed: Testbed, team: Team, got: Got, lot: random.Random, session: aiohttp.ClientSession) -> None:
     loop = asyncio.get_running_loop()
-    shard = lot.randrange(len(room.servers))
+    shard = lot.randrange(len(testbed.servers))
     path = f"/api/{team.volume}/{lot.getrandbits(64):016x}"
-    room.servers[shard].kept.setdefault(path, b"photo")  # whatever is asked for is there
+    testbed.servers[shard].kept.setdefault(path, b"photo")  # whatever is asked for is there
     headers = {
         "X-Trace-Id": f"{lot.getrandbits(64):016x}", "X-Qos": team.cls, "X-Plan": team.plan,
         "X-Expires-In-Ms": str(int(team.deadline * 1000)),
-        "X-IO": f"units={UNITS},shard={shard},hosts={len(room.ports)}"}
+        "X-IO": f"units={UNITS},shard={shard},hosts={len(testbed.ports)}"}
     if team.token:
         headers["Authorization"] = f"Bearer {team.token}"
     began = loop.time()
     try:
-        url = f"http://127.0.0.1:{lot.choice(room.ports)}{path}"
+        url = f"http://127.0.0.1:{lot.choice(testbed.ports)}{path}"
         async with session.get(url, headers=headers, timeout=aiohttp.ClientTimeout(team.deadline)) as answer:
             await answer.read()
             got.statuses[answer.status] += 1
@@ -214,14 +206,14 @@
 
 async def main(fronts: int, seconds: float) -> int:
     good = True
-    async with Room(fronts) as room:
+    async with Testbed(fronts) as testbed:
         await asyncio.sleep(1.5)  # budgets begin empty
         for words, surging in (("each team within its contract", False), ("export at twenty times its rate", True)):
             teams = tuple(replace(team, rate=team.rate * (team.surge if surging else 1)) for team in TEAMS)
-            found = await play(room, teams, seconds)
+            found = await play(testbed, teams, seconds)
             lines, all_held = table(found, teams)
             good = good and all_held
-            print(f"\n{words}: {seconds:g} s, {fronts} front(s), {len(room.servers)} chunk servers; units a second")
+            print(f"\n{words}: {seconds:g} s, {fronts} front(s), {len(testbed.servers)} chunk servers; units a second")
             print("\n".join(lines), flush=True)
     print("\nevery team was held to its contract" if good else "\na team was NOT held to its contract")
     return 0 if good else 1
--- a/ochrespan/contracts/admission.py
+++ b/ochrespan/contracts/admission.py
@@ -102,7 +102,7 @@
         for level in path:
             if level.most_open is not None and level.open >= level.most_open:
                 return query.refusal(level, Bound("open", LEAST_WAIT))
-        funding = secure(query, self._tree.alarms)
+        funding = secure(query, self._tree.timers)
         if not isinstance(funding, Funding):
             return funding
         grant = Grant(contract, leaf, path, unit)
@@ -116,7 +116,7 @@
         if grant.settled:
             return False
         query = Query(grant.contract, grant.leaf, grant.path[1:], grant.units, 1, micros(now))
-        funding = secure(query, self._tree.alarms, grant.extra)
+        funding = secure(query, self._tree.timers, grant.extra)
         if not isinstance(funding, Funding):
             grant.leaf.count("retry-unpaid")
             return False
--- a/ochrespan/contracts/parts.py
+++ b/ochrespan/contracts/front_share.py
@@ -25,7 +25,7 @@
 
 
 @dataclass(slots=True)
-class Part:
+class FrontShare:
     """One front's part of one contract's rate, as a multiple of the even part."""
 
     rate: float  # the whole budget
--- a/ochrespan/contracts/funding.py
+++ b/ochrespan/contracts/funding.py
@@ -11,7 +11,7 @@
 from .amounts import MICROS, PARTS
 from .bucket import Bucket
 from .grants import Funding, NotCovered, OverBudget
-from .lending import Alarms
+from .lending import TimerQueue
 from .levels import Draw, Level
 from .terms import Contract
 from .window import NAMES
@@ -55,10 +55,10 @@
     return max(1, (bucket.left - bucket.burst // 2) // one)
 
 
-def secure(query: Query, alarms: Alarms, extra: Bucket | None = None) -> Funding | NotCovered | OverBudget:
+def secure(query: Query, timers: TimerQueue, extra: Bucket | None = None) -> Funding | NotCovered | OverBudget:
     """The attempts that fit, with the funds drawn for them. `extra`: what pays for repeats alone."""
     leaf, unit, now = query.leaf, query.unit, query.now
-    alarms.run(now)
+    timers.run(now)
     leaf.sync(now)
     for level in query.above:
         level.sync(now)
@@ -77,7 +77,7 @@
         if not isinstance(allowed, int):
             return allowed
         attempts = allowed
-    return _draw(query, attempts, alarms)
+    return _draw(query, attempts, timers)
 
 
 def _own_attempts(leaf: Level, unit: int, now: int) -> int:
@@ -98,10 +98,10 @@
     return attempts
 
 
-def _draw(query: Query, attempts: int, alarms: Alarms) -> Funding | NotCovered | OverBudget:
+def _draw(query: Query, attempts: int, timers: TimerQueue) -> Funding | NotCovered | OverBudget:
     """Funds for as many of these attempts as there are, whole attempts only."""
     leaf, unit = query.leaf, query.unit
-    draw = leaf.draw(alarms, attempts * unit, query.now)
+    draw = leaf.draw(timers, attempts * unit, query.now)
     paid = (draw.own + draw.lent) // unit
     if not paid:
         leaf.pay(draw, 0)
--- a/ochrespan/contracts/gate.py
+++ b/ochrespan/contracts/gate.py
@@ -13,16 +13,19 @@
 from . import admission
 from .accounts import accounts, figures
 from .admission import Admission, Demand, Grant
-from .parts import Part
+from .front_share import FrontShare
 from .terms import Book, Contract
 
 log = structlog.get_logger(__name__)
 
-QUIET = 5.0  # s between log lines of one team and rule: a surge must not fill the log
+NOTICE_INTERVAL = 5.0  # s between log lines of one team and rule: a surge must not fill the log
+MAX_NOTICES = 10_000  # teams and rules of which the last line is remembered
 
 
 @dataclass(slots=True)
-class Told:
+class LastNotice:
+    """When refusals of one team by one rule were last logged."""
+
     at: float
     since: int = 0  # refusals since then that were not told
 
@@ -33,8 +36,8 @@
     def __init__(self, book: Book, clock: Callable[[], float]) -> None:
         self.now = clock
         self.admission = Admission(book, clock())
-        self._told: dict[tuple[str, str], Told] = {}
-        self._parts: dict[str, Part] = {}
+        self._notices: dict[tuple[str, str], LastNotice] = {}
+        self._parts: dict[str, FrontShare] = {}
         self._set_parts()
 
     # ---- the core's side ----
@@ -66,14 +69,14 @@
             part.note_heard(units)
 
     def _tell(self, now: float, team: str, rule: str, **words: object) -> None:
-        if len(self._told) > 10_000:
-            self._told.clear()
-        told = self._told.get((team, rule))
-        if told is not None and now - told.at < QUIET:
+        if len(self._notices) > MAX_NOTICES:
+            self._notices.clear()
+        told = self._notices.get((team, rule))
+        if told is not None and now - told.at < NOTICE_INTERVAL:
             told.since += 1
             return
         log.info("refused by contract", team=team or "-", rule=rule, untold=told.since if told else 0, **words)
-        self._told[team, rule] = Told(now)
+        self._notices[team, rule] = LastNotice(now)
 
     # ---- the operator's side ----
 
@@ -105,7 +108,7 @@
         for path, contract in book.contracts.items():
             rate = contract.terms.budget.units_per_s
             if contract.parts == "heard" and rate is not None:
-                self._parts[path] = part = was.get(path) or Part(rate, 1)
+                self._parts[path] = part = was.get(path) or FrontShare(rate, 1)
                 part.rate, part.fronts = rate, max(1, contract.fronts or book.fronts)
         self.admission.set_scales({path: part.scale for path, part in self._parts.items()})
 
--- a/ochrespan/contracts/lending.py
+++ b/ochrespan/contracts/lending.py
@@ -1,11 +1,11 @@
 """What nobody uses of their reserves, lent by weight.
 
-A level's pot gets what its level has beyond its children's reserves, and the reserve of each child whose own bucket
-is full. It deals this out by weight among the children that lately asked for more than they have. A pot that nobody
+A level's pool gets what its level has beyond its children's reserves, and the reserve of each child whose own bucket
+is full. It deals this out by weight among the children that lately asked for more than they have. A pool that nobody
 asks passes all on to its parent's. A reserve is lent only while its owner's bucket is full, so an owner that asks
 finds the whole bucket, and lending stops with its first request: what is lent is never called back from anybody.
 
-Dealing costs the same however many children ask: the pot keeps a running sum of what one weight has got since the
+Dealing costs the same however many children ask: the pool keeps a running sum of what one weight has got since the
 start, and a child that asks is given its weight times what came since it last did (as in the fluid model of
 generalized processor sharing; Parekh and Gallager, 1993). Amounts and times: see `amounts.py`.
 """
@@ -24,7 +24,7 @@
 ASKING = 1 * MICROS  # so long after its last ask a child is dealt a share
 
 
-class Alarms:
+class TimerQueue:
     """What has to happen at a point of time, done in order when the next admission or settlement comes."""
 
     def __init__(self) -> None:
@@ -42,20 +42,25 @@
 
 @dataclass(slots=True, eq=False)
 class Share:
-    """What one child has of its parent's pot."""
+    """What one child has of its parent's pool."""
 
     weight: int
     burst: int
     credit: int = 0
-    seen: int = 0  # the pot's running sum when the child was last given its part
+    seen: int = 0  # the pool's running sum when the child was last given its part
 
 
-class Pot:
-    def __init__(self, alarms: Alarms, burst: int, at: int, parent: Pot | None = None, share: Share | None = None):
-        self._alarms, self.burst, self._at = alarms, burst, at
+class LendingPool:
+    """What one level's children may borrow."""
+
+    def __init__(
+        self, timers: TimerQueue, burst: int, at: int, parent: LendingPool | None = None, share: Share | None = None
+    ) -> None:
+        """`burst`: the most that is unassigned at a time. `share`: this pool's own in its parent."""
+        self._timers, self.burst, self._at = timers, burst, at
         self._parent, self._share = parent, share
         self.rate = 0
-        self.loose = 0  # for whoever comes first
+        self.unassigned = 0  # for whoever comes first
         self._dealt, self._rest, self._unclaimed = 0, 0, 0
         self._asking: OrderedDict[Share, int] = OrderedDict()  # and when last, the longest ago first
         self._weights = 0
@@ -63,7 +68,7 @@
 
     @property
     def stock(self) -> int:
-        return self.loose + self._unclaimed + sum(share.credit for share in self._asking)
+        return self.unassigned + self._unclaimed + sum(share.credit for share in self._asking)
 
     def _passing(self) -> bool:
         return not self._asking and self._parent is not None
@@ -83,16 +88,16 @@
     def _deal(self, amount: int) -> None:
         self.came += amount
         if not self._asking:
-            self._loosen(amount)
+            self._unassign(amount)
             return
         self._unclaimed += amount
         more, self._rest = divmod(amount * SCALE + self._rest, self._weights)
         self._dealt += more
 
-    def _loosen(self, amount: int) -> None:
-        self.loose += amount
-        over = max(0, self.loose - self.burst)
-        self.loose -= over
+    def _unassign(self, amount: int) -> None:
+        self.unassigned += amount
+        over = max(0, self.unassigned - self.burst)
+        self.unassigned -= over
         if over and self._parent is not None:
             self.passed += over
             self._parent.deposit(over)
@@ -102,7 +107,7 @@
     def deposit(self, amount: int) -> None:
         """Something beyond the steady flow, for whoever comes first."""
         self.came += amount
-        self._loosen(amount)
+        self._unassign(amount)
 
     def _give(self, share: Share) -> None:
         """The child's part of all that was dealt since it last asked."""
@@ -116,7 +121,7 @@
         over = max(0, share.credit - share.burst)
         share.credit -= over
         if over:
-            self._loosen(over)
+            self._unassign(over)
 
     def _ask(self, share: Share, now: int) -> None:
         self._advance(now)
@@ -126,7 +131,7 @@
             if not self._asking:
                 if self._parent is not None:  # from here on the flow stays here
                     self._parent.change_rate(-self.rate, now)
-                self._alarms.at(now + ASKING, self._forget)
+                self._timers.at(now + ASKING, self._forget)
             self._weights += share.weight
             share.seen = self._dealt
         self._asking[share] = now
@@ -140,12 +145,12 @@
             del self._asking[share]
             self._weights -= share.weight
             left, share.credit = share.credit, 0
-            self._loosen(left)
+            self._unassign(left)
         if self._asking:
-            self._alarms.at(next(iter(self._asking.values())) + ASKING, self._forget)
+            self._timers.at(next(iter(self._asking.values())) + ASKING, self._forget)
         else:
             left, self._unclaimed, self._rest = self._unclaimed, 0, 0
-            self._loosen(left)
+            self._unassign(left)
             if self._parent is not None:
                 self._parent.change_rate(self.rate, now)
 
@@ -153,16 +158,16 @@
         """As much of `wanted` as the child's part allows; what is not used goes back by `put_back`."""
         self._ask(share, now)
         self._give(share)
-        if share.credit + self.loose < wanted and self._parent is not None and self._share is not None:
-            # through the pot, so that the level's part of its parent's pot is dealt out by weight here too
-            got = self._parent.take(self._share, wanted - share.credit - self.loose, now)
+        if share.credit + self.unassigned < wanted and self._parent is not None and self._share is not None:
+            # through the pool, so that the level's part of its parent's pool is dealt out by weight here too
+            got = self._parent.take(self._share, wanted - share.credit - self.unassigned, now)
             if got:
                 self._deal(got)
                 self._give(share)
         own = min(wanted, share.credit)
         share.credit -= own
-        more = min(wanted - own, self.loose)
-        self.loose -= more
+        more = min(wanted - own, self.unassigned)
+        self.unassigned -= more
         self.taken += own + more
         return own + more
 
@@ -171,14 +176,14 @@
         if share in self._asking:
             self._credit(share, amount)
         else:
-            self._loosen(amount)
+            self._unassign(amount)
 
     def wait(self, share: Share, amount: int) -> int | None:
         """About how long until the child's part has grown by so much; None: nothing flows in."""
-        flow, weights, pot, own = self.rate, self._weights, self, share
-        while not flow and pot._parent is not None and pot._share is not None:
-            own, pot = pot._share, pot._parent
-            flow, weights = pot.rate, pot._weights
+        flow, weights, pool, own = self.rate, self._weights, self, share
+        while not flow and pool._parent is not None and pool._share is not None:
+            own, pool = pool._share, pool._parent
+            flow, weights = pool.rate, pool._weights
         if not flow:
             return None
         return -(-amount * max(weights, own.weight) // (flow * own.weight))
--- a/ochrespan/contracts/levels.py
+++ b/ochrespan/contracts/levels.py
@@ -13,7 +13,7 @@
 from . import window
 from .amounts import PARTS, parts, rate
 from .bucket import Bucket
-from .lending import Alarms, Pot, Share
+from .lending import LendingPool, Share, TimerQueue
 from .terms import Budget, Terms
 from .window import Window
 
@@ -42,9 +42,9 @@
     most_open: int | None = None
     open: int = 0
     reserve: Bucket | None = None
-    flow: int = 0  # rate at which its pot fills by itself
-    pot: Pot | None = None  # of a level with children, where there is lending
-    share: Share | None = None  # in its parent's pot
+    flow: int = 0  # rate at which its pool fills by itself
+    pool: LendingPool | None = None  # of a level with children, where there is lending
+    share: Share | None = None  # in its parent's pool
     reserved: int = 0  # rate of the reserves below this level
     lending_since: int | None = None
     lent: int = 0
@@ -52,7 +52,7 @@
     extras: Bucket | None = None  # attempts beyond the first, earned by admissions
     extra_a_request: int = 0
     counts: dict[str, int] = field(default_factory=dict)  # admissions, ends and refusals by their rule
-    _watched: int = 0  # alarms for a full reserve that were set; only the last one counts
+    _watched: int = 0  # timers for a full reserve that were set; only the last one counts
 
     @property
     def path(self) -> str:
@@ -110,42 +110,42 @@
                 one.quota = parts(quota * part)
                 yield one
 
-    def fund(self, alarms: Alarms, part: float, least: int, now: int, owns: bool) -> None:
-        """Its share of its parent's pot, and where it `owns` one, its reserve: what has children holds a pot."""
+    def fund(self, timers: TimerQueue, part: float, least: int, now: int, owns: bool) -> None:
+        """Its share of its parent's pool, and where it `owns` one, its reserve: what has children holds a pool."""
         told = self.terms.reserve
         per_s = (told.units_per_s or None) if owns else None
         self.reserve = _bucket(self.reserve, per_s, told.burst_units, part, least, now)
         if self.parent is not None:
             self.share = Share(max(1, round(self.terms.weight * 1000)), 2 * least)
-        self._watch(alarms)
+        self._watch(timers)
 
-    def _watch(self, alarms: Alarms) -> None:
+    def _watch(self, timers: TimerQueue) -> None:
         if self.reserve is not None and (at := self.reserve.full_at()) is not None:
             self._watched += 1
             number = self._watched
-            alarms.at(at, lambda now: self._full(alarms, number, now))
+            timers.at(at, lambda now: self._full(timers, number, now))
 
     # ---- lending ----
 
-    def _full(self, alarms: Alarms, number: int, now: int) -> None:
-        """The bucket may be full; if it was drawn from since, the alarm moves on: one a level is enough."""
+    def _full(self, timers: TimerQueue, number: int, now: int) -> None:
+        """The bucket may be full; if it was drawn from since, the timer moves on: one a level is enough."""
         if number != self._watched or self.reserve is None:
             return
         self.reserve.sync(now)
         if self.reserve.left < self.reserve.burst:
-            self._watch(alarms)
-        elif self.parent is not None and self.parent.pot is not None:
+            self._watch(timers)
+        elif self.parent is not None and self.parent.pool is not None:
             self.lending_since = now
-            self.parent.pot.change_rate(self.reserve.rate, now)
+            self.parent.pool.change_rate(self.reserve.rate, now)
 
     def end_lending(self, now: int) -> None:
         if self.lending_since is not None and self.reserve is not None:
             self.lent += self.reserve.rate * max(0, now - self.lending_since)
             self.lending_since = None
-            if self.parent is not None and self.parent.pot is not None:
-                self.parent.pot.change_rate(-self.reserve.rate, now)
+            if self.parent is not None and self.parent.pool is not None:
+                self.parent.pool.change_rate(-self.reserve.rate, now)
 
-    def draw(self, alarms: Alarms, wanted: int, now: int) -> Draw:
+    def draw(self, timers: TimerQueue, wanted: int, now: int) -> Draw:
         """Funds: as much as there is of `wanted`, from the reserve and borrowed."""
         own = 0
         if self.reserve is not None:
@@ -155,10 +155,10 @@
                 self.end_lending(now)
                 self.reserve.hold(own)
                 if was_lending:
-                    self._watch(alarms)
+                    self._watch(timers)
         lent = 0
-        if own < wanted and self.parent is not None and self.parent.pot is not None and self.share is not None:
-            lent = self.parent.pot.take(self.share, wanted - own, now)
+        if own < wanted and self.parent is not None and self.parent.pool is not None and self.share is not None:
+            lent = self.parent.pool.take(self.share, wanted - own, now)
             self.borrowed += lent
         return Draw(self.reserve, own, lent)
 
@@ -177,18 +177,18 @@
             over = draw.reserve.settle(draw.own, from_reserve)
         back = draw.lent - min(draw.lent, cost - from_reserve)
         self.borrowed -= back
-        pot = self.parent.pot if self.parent is not None else None
-        if pot is not None and self.share is not None:
+        pool = self.parent.pool if self.parent is not None else None
+        if pool is not None and self.share is not None:
             if back:
-                pot.put_back(self.share, back)
+                pool.put_back(self.share, back)
             if over and draw.reserve is self.reserve:
                 self.lent += over
-                pot.deposit(over)
+                pool.deposit(over)
 
     def funds_wait(self, amount: int) -> int | None:
         waits = [self.reserve.wait(amount)] if self.reserve is not None else []
-        if self.parent is not None and self.parent.pot is not None and self.share is not None:
-            waits.append(self.parent.pot.wait(self.share, amount))
+        if self.parent is not None and self.parent.pool is not None and self.share is not None:
+            waits.append(self.parent.pool.wait(self.share, amount))
         return min((wait for wait in waits if wait is not None), default=None)
 
 
--- a/ochrespan/contracts/start.py
+++ b/ochrespan/contracts/start.py
@@ -6,8 +6,8 @@
 import gc
 
 from ..running import Core, Running
+from .front_share import STEP
 from .gate import ContractGate
-from .parts import STEP
 from .section import Contracts
 
 
--- a/ochrespan/contracts/tree.py
+++ b/ochrespan/contracts/tree.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from .amounts import micros, parts, rate
-from .lending import Alarms, Pot
+from .lending import LendingPool, TimerQueue
 from .levels import Level
 from .terms import Book, Terms
 
@@ -19,18 +19,18 @@
         self.levels: dict[str, Level] = {}
         self.scale: dict[str, float] = {}  # by path: this front's part of a contract that adapts it
         self.book = book
-        self._alarms = Alarms()
+        self._timers = TimerQueue()
         self._inner: set[str] = set()  # the paths of levels that hold others together
         self.replace(book, now)
 
     @property
-    def alarms(self) -> Alarms:
+    def timers(self) -> TimerQueue:
         """What is due at a point of time: filled reserves, children that no longer ask."""
-        return self._alarms
+        return self._timers
 
     def advance(self, now: float) -> None:
         """What was due until now has happened."""
-        self._alarms.run(micros(now))
+        self._timers.run(micros(now))
 
     def rescale(self, path: str, scale: float, now: float) -> None:
         """This front's part of a contract's budgets becomes so many times the even one."""
@@ -46,7 +46,7 @@
         Where only some contracts changed, only these are touched: thousands of others must not stop the front.
         """
         at = micros(now)
-        self._alarms.run(at)
+        self._timers.run(at)
         old, self.book = self.book, book
         gone = [path for path in self.levels if path and path not in book.levels]
         changed = [path for path in book.levels if path not in self.levels or not _same(old, book, path)]
@@ -93,11 +93,11 @@
     # ---- funds ----
 
     def _fund_all(self, least: int, at: int) -> None:
-        """Pots and reserves anew, where the installation says what its servers bear."""
-        self._alarms = Alarms()
-        stocks = {path: level.pot.stock for path, level in self.levels.items() if level.pot is not None}
+        """Pools and reserves anew, where the installation says what its servers bear."""
+        self._timers = TimerQueue()
+        stocks = {path: level.pool.stock for path, level in self.levels.items() if level.pool is not None}
         for level in self.levels.values():
-            level.pot, level.share, level.lending_since, level.reserved, level.flow = None, None, None, 0, 0
+            level.pool, level.share, level.lending_since, level.reserved, level.flow = None, None, None, 0, 0
         for path, level in self.levels.items():
             if self.book.capacity is None:
                 level.reserve = None
@@ -107,21 +107,21 @@
                 self._fund_leaf(level, least, at)
 
     def _fund_inner(self, level: Level, stock: int, least: int, at: int) -> None:
-        """A level with children holds a pot, which keeps what it had as far as that fits."""
+        """A level with children holds a pool, which keeps what it had as far as that fits."""
         capacity, part = self.book.capacity, 1.0 / max(1, self.book.fronts)
         assert capacity is not None
         burst = capacity.burst_units if capacity.burst_units is not None else capacity.units_per_s
-        level.fund(self._alarms, part, least, at, owns=False)
-        parent = level.parent.pot if level.parent else None
-        level.pot = Pot(self._alarms, max(least, parts(burst * part)), at, parent, level.share)
-        level.pot.deposit(min(stock, level.pot.burst))
+        level.fund(self._timers, part, least, at, owns=False)
+        parent = level.parent.pool if level.parent else None
+        level.pool = LendingPool(self._timers, max(least, parts(burst * part)), at, parent, level.share)
+        level.pool.deposit(min(stock, level.pool.burst))
 
     def _fund_leaf(self, level: Level, least: int, at: int) -> None:
-        level.fund(self._alarms, level.part, least, at, owns=True)
+        level.fund(self._timers, level.part, least, at, owns=True)
         _count_reserve(level, 1)
 
     def _set_flows(self, at: int) -> None:
-        """What flows into each pot by itself: what its level has beyond its children's reserves."""
+        """What flows into each pool by itself: what its level has beyond its children's reserves."""
         if self.book.capacity is None:
             return
         own, children = self.book.assured()
@@ -129,8 +129,8 @@
         for path in self._inner:
             level = self.levels[path]
             flow = rate(max(0.0, own[path] - children.get(path, 0.0)) / max(1, self.book.fronts))
-            if level.pot is not None and flow != level.flow:
-                level.pot.change_rate(flow - level.flow, at)
+            if level.pool is not None and flow != level.flow:
+                level.pool.change_rate(flow - level.flow, at)
                 level.flow = flow
 
 
--- a/tests/books.py
+++ b/tests/books.py
@@ -71,10 +71,10 @@
                 if bucket is not None:
                     assert bucket.granted == bucket.spent + bucket.held + bucket.left, level.path
                     assert bucket.left <= bucket.burst
-            if level.pot is not None:
-                pot = level.pot
-                assert pot.came == pot.stock + pot.taken + pot.passed + pot.lost
-                assert pot.loose >= 0 and pot.stock >= 0 and pot.rate >= 0, level.path
+            if level.pool is not None:
+                pool = level.pool
+                assert pool.came == pool.stock + pool.taken + pool.passed + pool.lost
+                assert pool.unassigned >= 0 and pool.stock >= 0 and pool.rate >= 0, level.path
             assert level.open >= 0
         if open_ is not None:
             assert self.admission.levels[""].open == open_
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -8,7 +8,7 @@
 
 from ochrespan.contracts.accounts import accounts, figures
 from ochrespan.contracts.admission import Admission, Demand, Grant, NotCovered, OverBudget
-from ochrespan.contracts.parts import Part
+from ochrespan.contracts.front_share import FrontShare
 from ochrespan.contracts.terms import Budget, Terms
 
 from .books import Site, book, team
@@ -187,7 +187,7 @@
         site.ask("a")
     level = site.admission.levels["a"]
     assert level.units.granted == 100 * 10**12
-    assert level.parent.pot.came == 500 * 10**12
+    assert level.parent.pool.came == 500 * 10**12
 
 
 def test_what_was_taken_is_paid_though_the_budget_runs_out_and_every_retry_too():
@@ -450,7 +450,7 @@
     ([5] * 8, 0.38, 0.42),  # less than the budget in all
 ])
 def test_parts_that_hear_of_others_use_come_to_the_whole(demands, least, most):
-    rate, parts = 100.0, [Part(100.0, len(demands)) for _ in demands]
+    rate, parts = 100.0, [FrontShare(100.0, len(demands)) for _ in demands]
     for part in parts:
         part.step(0.0)
     used: list[float] = []
--- a/tests/world.py
+++ b/tests/world.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import os
-import secrets
 import signal
 import socket
 import sys
@@ -20,6 +19,8 @@
 from aiohttp import web
 from yarl import URL
 
+from examples.ports import free_port
+
 VOLUME, KEY = "00000003b4d60021", "7f3a9c21e0b4d655"
 MS = 1_000_000
 
@@ -289,15 +290,6 @@
         return False
 
 
-def free_port() -> int:
-    """Below the ports that the system gives to clients, so that none of them takes it before the front does."""
-    while True:
-        port = secrets.randbelow(20_000) + 11_000
-        with socket.socket() as probe, suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            return port
-
-
 def play(story: Coroutine) -> None:
     asyncio.run(asyncio.wait_for(story, 60))
 
