Upgrades: the old process lets its clients go once the new one is ready

The old process now ends idle connections, and used ones with their answer, as soon as the new one is ready; each process counts the descriptors that the other holds instead of half, and an idle connection whose request has arrived is answered.

--- a/ochrespan/front.py
+++ b/ochrespan/front.py
@@ -32,7 +32,7 @@
 from .net.listener import Listener, Server
 from .net.platform import MOST_WHOLE, PlatformFront
 from .running import Core, Running
-from .sockets import Sockets
+from .sockets import Sockets, in_use
 from .suspension import ServerSwitch, SuspendedServers, SuspensionFile
 from .upgrade import Roster
 
@@ -132,16 +132,16 @@
 
 
 async def send_clients_away(lifecycle: Lifecycle, listeners: list[Listener]) -> None:
-    """While operators want the front empty: ends idle connections once clients have stopped coming."""
+    """Ends idle connections: while operators want the front empty, once clients have stopped coming; and while the
+    new process of an upgrade takes them, as clients hold a bounded number over both."""
     loop = asyncio.get_running_loop()
     since: float | None = None
     while True:
         await asyncio.sleep(FOLLOW.total_seconds())
-        if lifecycle.phase is not Phase.INACTIVE:
-            since = None
-            continue
-        since = since or loop.time()
-        if loop.time() - since >= LEAVES_FROM.total_seconds():
+        inactive = lifecycle.phase is Phase.INACTIVE
+        since = (since or loop.time()) if inactive else None
+        left = since is not None and loop.time() - since >= LEAVES_FROM.total_seconds()
+        if left or lifecycle.succeeded:
             for listener in listeners:
                 listener.dismiss_idle(SILENT)
 
@@ -167,7 +167,8 @@
     async with AsyncExitStack() as stack:
         stack.callback(roster.leave)
         sockets = Sockets(told.sockets, controlled=told.control is not None)
-        session = await stack.enter_async_context(open_session(told.links, sockets.outgoing(roster.size())))
+        sockets.leave_to_others(roster.descriptors_of_others())
+        session = await stack.enter_async_context(open_session(told.links, sockets.outgoing))
         asking = await stack.enter_async_context(discovery.open_session())
         at_once = told.settings.ask_within == 0  # what could be heard counts as told; the known list may be old
         watch = Watch(broker, directory, asking, told.discovery, timedelta() if at_once else discovery.FIRST_WAIT)
@@ -191,7 +192,7 @@
         listeners: list[Listener] = []
         for server, address in fronts:
             listeners.append(Listener(server, 1))
-            sockets.share(listeners[-1:], len(fronts), roster.size())
+            sockets.share(listeners[-1:], len(fronts))
             await listeners[-1].open(address, shared=told.control is not None)
             stack.push_async_callback(listeners[-1].shutdown, GRACE)
         jobs = [job for one in running.values() for job in one.jobs]
@@ -205,6 +206,7 @@
                 await watch.heard(FIRST_LIST)
             lifecycle.advance(Phase.READY)  # says nothing where the end has begun meanwhile
             roster.tell_ready()
+            roster.tell(in_use())
 
         tasks.append(asyncio.create_task(ready()))
         await lifecycle.reached(Phase.DRAINING)
@@ -234,12 +236,14 @@
     while True:
         await asyncio.sleep(FOLLOW.total_seconds())
         switch.refresh()
+        roster.tell(in_use())
         lifecycle.succeeded = roster.has_ready_successor()
         if (processes := roster.size()) != known:
             log.info("processes of this front", extra={"was": known, "now": processes})
             known = processes
-            resize(session, sockets.outgoing(processes))
-            sockets.share(listeners, len(listeners), processes)
+        if sockets.leave_to_others(roster.descriptors_of_others()):
+            resize(session, sockets.outgoing)
+            sockets.share(listeners, len(listeners))
 
 
 def run(path: Path | None = None, log_format: str = "") -> int:
--- a/ochrespan/lifecycle.py
+++ b/ochrespan/lifecycle.py
@@ -86,6 +86,4 @@
     @property
     def closing(self) -> bool:
         """Whether each answer ends its connection."""
-        if self.phase in (Phase.INACTIVE, Phase.CLOSING, Phase.STOPPED):
-            return True
-        return self.phase is Phase.DRAINING and self.succeeded
+        return self.succeeded or self.phase in (Phase.INACTIVE, Phase.CLOSING, Phase.STOPPED)
--- a/ochrespan/net/guard.py
+++ b/ochrespan/net/guard.py
@@ -86,7 +86,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
-        transport.max_size = PIECE  # type: ignore[attr-defined]  # there is no public way
+        if self._most_held:  # such bodies are bounded together, not by a budget of their own front
+            transport.max_size = PIECE  # type: ignore[attr-defined]  # there is no public way
         self._moved(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/ochrespan/net/http1.py
+++ b/ochrespan/net/http1.py
@@ -71,9 +71,10 @@
         where there is a bound)."""
         self._handler, self._most_body = handler, most_body
         self._most_held = (most_body or 0) if most_held is None else most_held
+        bounded = {"read_bufsize": PIECE} if self._most_held else {}
         self._server = web.Server(
             self._handle, handler_cancellation=True, access_log=None, auto_decompress=False,
-            lingering_time=LINGER.total_seconds(), read_bufsize=PIECE)
+            lingering_time=LINGER.total_seconds(), **bounded)
         self._guards: dict[Any, Guard] = {}  # by aiohttp's handler
         self._loop = asyncio.get_running_loop()
 
--- a/ochrespan/net/listener.py
+++ b/ochrespan/net/listener.py
@@ -14,6 +14,7 @@
 
 from .answers import waits_for
 from .guard import LIMITS, State
+from .reports import Repeats
 
 log = logging.getLogger(__name__)
 
@@ -87,6 +88,7 @@
         self._socket: socket.socket | None = None
         self._listening = False
         self._look: asyncio.TimerHandle | None = None
+        self._full = Repeats()
 
     # ---- connections ----
 
@@ -115,6 +117,8 @@
         assert self._socket is not None
         if len(self._states) + len(self._arriving) >= self._most and not self._make_room():
             self._pause()  # until somebody leaves
+            if number := self._full.count("full"):
+                log.info("no room for a connection", extra={"most": self._most, "number": number})
             return False
         try:
             sock, _ = self._socket.accept()
@@ -140,10 +144,22 @@
 
     def _spare(self, state: State) -> bool:
         """Whether one in this state could go: the one that has been in it for longest, if that is long enough."""
-        oldest = next((guard for guard in self._held[state] if not guard.closing), None)
-        if oldest is None or self._loop.time() - oldest.since <= SPARE[state].total_seconds():
+        for oldest in list(self._held[state]):
+            if self._loop.time() - oldest.since <= SPARE[state].total_seconds():
+                return False
+            if not oldest.closing and self._expire(oldest):
+                return True
+        return False
+
+    @staticmethod
+    def _expire(connection: Connection) -> bool:
+        """Ends one whose time is up, or whose descriptor is needed. A request that has arrived on it, though nobody
+        has read it yet, is answered instead: its client would find it cut off."""
+        transport = connection.transport
+        idle = connection.state in (State.QUIET, State.SILENT)
+        if idle and transport is not None and waits_for(transport, select.POLLIN):
             return False
-        oldest.expire()
+        connection.expire()
         return True
 
     def _listen(self) -> None:
@@ -160,7 +176,7 @@
         for state, limit in LIMITS.items():
             for guard in list(self._held[state]):
                 if self._loop.time() - guard.since > limit.total_seconds():
-                    guard.expire()
+                    self._expire(guard)
         for guard in list(self._held[State.BUSY]):
             transport = guard.transport
             # while a body waits to be taken nobody reads, and nobody would hear that its client has left
@@ -202,9 +218,7 @@
         idle = list(self._held[State.QUIET])
         idle += [one for one in self._held[State.SILENT] if now - one.since > silent_for.total_seconds()]
         for connection in idle:
-            transport = connection.transport
-            if transport is not None and not waits_for(transport, select.POLLIN):
-                connection.expire()
+            self._expire(connection)
 
     @property
     def occupied(self) -> bool:
--- a/ochrespan/upgrade.py
+++ b/ochrespan/upgrade.py
@@ -11,13 +11,30 @@
 import os
 import secrets
 import time
+from dataclasses import dataclass
 from pathlib import Path
 from typing import IO
 
 log = logging.getLogger(__name__)
 
 SUFFIX = ".process"
-READY = "ready"
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessState:
+    """What a process tells the others of its front."""
+
+    ready: bool = False  # it serves new connections
+    descriptors: int = 0  # that it holds
+
+    def dump(self) -> bytes:
+        return b"%d %8d\n" % (self.ready, self.descriptors)
+
+    @classmethod
+    def parse(cls, told: bytes) -> ProcessState:
+        """Raises ValueError where it is none."""
+        ready, descriptors = map(int, told.split())
+        return cls(bool(ready), descriptors)
 
 
 def shared_folder(temporary: str | None, name: str) -> Path | None:
@@ -39,6 +56,7 @@
     def __init__(self, folder: Path | None) -> None:
         self._folder = folder
         self._own: IO[str] | None = None
+        self._ready = False
         self._name = f"{time.monotonic_ns():020d}-{secrets.token_hex(4)}{SUFFIX}"  # one clock for all processes
 
     def join(self) -> None:
@@ -55,9 +73,17 @@
 
     def tell_ready(self) -> None:
         """From now on this process serves new connections."""
-        if self._own is not None:
-            self._own.write(READY)
-            self._own.flush()
+        self._ready = True
+
+    def tell(self, descriptors: int) -> None:
+        """Tells the others how many descriptors this process holds, and whether it is ready."""
+        if self._own is None:
+            return
+        state = ProcessState(self._ready, descriptors)
+        try:
+            os.pwrite(self._own.fileno(), state.dump(), 0)  # always of one length: never seen in part
+        except OSError as why:
+            log.error("other processes of this front do not see this one", extra={"why": str(why)})
 
     def leave(self) -> None:
         if self._own is not None and self._folder is not None:
@@ -69,7 +95,11 @@
         return any(name < self._name for name in self._others())
 
     def has_ready_successor(self) -> bool:
-        return any(name > self._name and self._is_ready(name) for name in self._others())
+        return any(name > self._name and self._state(name).ready for name in self._others())
+
+    def descriptors_of_others(self) -> int:
+        """Descriptors that the other processes told of last."""
+        return sum(self._state(name).descriptors for name in self._others())
 
     def size(self) -> int:
         """Processes that live, this one among them."""
@@ -97,9 +127,9 @@
             return False
         return False
 
-    def _is_ready(self, name: str) -> bool:
+    def _state(self, name: str) -> ProcessState:
         assert self._folder is not None
         try:
-            return (self._folder / name).read_text() == READY
-        except OSError:
-            return False
+            return ProcessState.parse((self._folder / name).read_bytes())
+        except (OSError, ValueError):
+            return ProcessState()
