Doc comments on the public items of contracts, HTTP/2, objects and metrics

Each now says in a line what it is for, and the exporters' sizes, kinds and waits have names with units. No statement changed otherwise.

--- a/benchmarks/admission_cost.py
+++ b/benchmarks/admission_cost.py
@@ -30,6 +30,7 @@
 
 
 def make(teams: int) -> Admission:
+    """Admissions with so many teams."""
     book = Book(Reserve(100_000.0 + 5.0 * teams), 3, 8.0, 3)
     for i in range(10):
         book.levels[f"o{i}"] = Terms(f"o{i}", "organisation", budget=Budget(units_per_s=1e7))
@@ -43,6 +44,8 @@
 
 
 class Clock:
+    """Times rounds of admissions on a clock of its own."""
+
     def __init__(self, admission: Admission, teams: int, active: bool) -> None:
         self.admission, self.now = admission, 1_000_100.0
         lot = random.Random(teams)
@@ -64,6 +67,7 @@
 
 
 def cpu_of(pid: int) -> float:
+    """Seconds of processor time that a process has used."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
--- a/benchmarks/front_parts.py
+++ b/benchmarks/front_parts.py
@@ -24,6 +24,8 @@
 
 
 class Front:
+    """One front with its admissions, and what it has heard of the others."""
+
     def __init__(self, fronts: int, parts: str) -> None:
         book = Book(None, fronts, 2.0, 1)
         book.add(Contract(Terms("a", "team", budget=Budget(units_per_s=RATE)), "gold", frozenset({"read"})))
@@ -34,6 +36,7 @@
         self.mine = 0.0  # of that, its own
 
     def ask(self, now: float) -> bool:
+        """One request; whether it was served."""
         got = self.admission.admit(now, Demand("read", UNITS, volume="v"))
         if not isinstance(got, Grant):
             if self.part:
@@ -45,16 +48,19 @@
         return True
 
     def hear(self, served: float) -> None:
+        """An answer that tells how much all fronts have served so far."""
         if self.part:
             self.part.note_heard(max(0.0, served - self.told - self.mine))
         self.told, self.mine = served, 0.0
 
     def step(self, now: float) -> None:
+        """Lets its share of the budget move."""
         if self.part and (scale := self.part.step(now)) is not None:
             self.admission.rescale("a", scale, now)
 
 
 def weights(fronts: int, shape: str, now: float) -> list[float]:
+    """Which part of the demand comes through each front."""
     if shape == "even":
         return [1 / fronts] * fronts
     if shape == "zipf":
--- a/benchmarks/http2_load.py
+++ b/benchmarks/http2_load.py
@@ -28,6 +28,7 @@
 
 
 def operator(platform: int, objects: int, plain: int) -> str:
+    """The operator's file of the run."""
     return f"""
 [objects]
 listen = "127.0.0.1:{plain}"
@@ -45,6 +46,7 @@
 
 
 def headers(number: int) -> dict[str, str]:
+    """The head of a request in the platform's protocol."""
     return {"X-Trace-Id": f"b{number}", "X-Qos": "photo-read", "X-Plan": "standard", "X-Expires-In-Ms": "750",
             "X-IO": f"units=1,shard={number % 3},hosts=1"}
 
@@ -65,6 +67,7 @@
 
 
 async def throughput(testbed: Testbed, port: int, seconds: float, rounds: int) -> None:
+    """Requests a second and processor time each, over both protocols in turns."""
     numbers = iter(range(10**9))
     path = f"/api/{VOLUME}/{0:016x}"
     for server in testbed.servers:
@@ -98,6 +101,7 @@
 
 
 async def latency(port: int, seconds: float) -> None:
+    """Latency of a small read alone and beside others."""
     body = bytes(32 << 20)
     async with Client(port, window=1 << 20) as client:
         assert (await client.call("PUT", "/photos/large", body)).status == 200
@@ -126,6 +130,7 @@
 
 
 async def run(seconds: float, rounds: int) -> None:
+    """Both measurements against one front."""
     platform, objects = free_port(), free_port()
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder, "operator.toml")
--- a/benchmarks/teams_run.py
+++ b/benchmarks/teams_run.py
@@ -49,6 +49,7 @@
 
 
 async def run(fronts: int, seconds: float, pairs: int) -> bool:
+    """Both measurements; whether every team was held to its contract."""
     good = True
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder, "operator.toml")
--- a/examples/teams.py
+++ b/examples/teams.py
@@ -69,6 +69,7 @@
 
     @property
     def units_a_second(self) -> float:
+        """Units served a second."""
         return self.statuses[200] * UNITS / self.seconds
 
 
@@ -205,6 +206,7 @@
 
 
 async def main(fronts: int, seconds: float) -> int:
+    """Both phases; the exit code."""
     good = True
     async with Testbed(fronts) as testbed:
         await asyncio.sleep(1.5)  # budgets begin empty
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -23,10 +23,12 @@
 
     @property
     def entry(self) -> dict[str, object]:
+        """Its entry in the list of chunk servers."""
         return {"id": f"toy-{self.shard}", "host_port": self.address, "locality": "room",
                 "flavor": "toy", "cell": self.shard, "phase": self.phase, "size": 1.0, "up_since_ms": 0}
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Stores or returns a chunk."""
         body = await request.read()
         if self.phase != "up":
             return web.Response(status=503, headers={"X-Never-Ran": "1"})
@@ -48,17 +50,21 @@
 
 
 class Discovery:
+    """Answers with the list of chunk servers, at once or when it changes."""
+
     def __init__(self, servers: list[ChunkServer]) -> None:
         self.servers, self.revision = servers, 1
         self.news = asyncio.Condition()
 
     async def change(self, server: ChunkServer, phase: str) -> None:
+        """Puts a chunk server into another phase and tells whoever waits."""
         async with self.news:
             server.phase = phase
             self.revision += 1
             self.news.notify_all()
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
+        """One call for the list."""
         after = int(request.query.get("after", -1))
         wait = int(request.query.get("wait_ms", 0)) / 1000
         with contextlib.suppress(TimeoutError):
@@ -70,6 +76,7 @@
 
 
 async def main(nodes: int, slow: float, drain: float) -> None:
+    """Serves until it is ended."""
     servers = [ChunkServer(shard, slow) for shard in range(nodes)]
     discovery = Discovery(servers)
     loop = asyncio.get_running_loop()
--- a/ochrespan/contracts/accounts.py
+++ b/ochrespan/contracts/accounts.py
@@ -42,6 +42,7 @@
 
 
 def accounts(admission: Admission, now: float) -> Iterator[Account]:
+    """Every budget of every level that has asked for something."""
     admission.advance(now)
     for level in list(admission.levels.values()):
         if not level.counts and level.path:
@@ -58,6 +59,7 @@
 
 
 def figures(admission: Admission, now: float) -> Iterator[Figures]:
+    """Counts, open requests and lending of every level that has asked for something."""
     admission.advance(now)
     for level in list(admission.levels.values()):
         if level.counts:
--- a/ochrespan/contracts/amounts.py
+++ b/ochrespan/contracts/amounts.py
@@ -11,10 +11,12 @@
 
 
 def parts(units: float) -> int:
+    """Units or attempts as a whole number of parts."""
     return round(units * PARTS)
 
 
 def units(amount: int) -> float:
+    """Parts as units or attempts again."""
     return amount / PARTS
 
 
@@ -24,4 +26,5 @@
 
 
 def micros(now: float) -> int:
+    """Unix time in seconds as whole microseconds."""
     return int(now * MICROS)
--- a/ochrespan/contracts/bucket.py
+++ b/ochrespan/contracts/bucket.py
@@ -11,6 +11,8 @@
 
 @dataclass(slots=True, eq=False)
 class Bucket:
+    """One token bucket."""
+
     rate: int
     burst: int  # the most that is left at a time
     at: int
@@ -29,6 +31,7 @@
                 self.granted += more
 
     def hold(self, amount: int) -> None:
+        """Moves an amount from what is left to what is held; more than is left makes that negative."""
         self.left -= amount
         self.held += amount
 
@@ -59,6 +62,7 @@
         return -((self.left - amount) // self.rate)
 
     def full_at(self) -> int | None:
+        """When the bucket will be full if nobody asks; None: never."""
         if self.left >= self.burst:
             return self.at
         return self.at - (self.left - self.burst) // self.rate if self.rate else None
--- a/ochrespan/contracts/front_share.py
+++ b/ochrespan/contracts/front_share.py
@@ -39,12 +39,15 @@
     _stepped_at: float | None = None
 
     def note_spent(self, units: float) -> None:
+        """This front has served so many units."""
         self._spent_now += units
 
     def note_heard(self, units: float) -> None:
+        """Other fronts have served so many units of the same volumes."""
         self._heard_now += units
 
     def note_refused(self) -> None:
+        """This front had to refuse for want of budget."""
         self._refused = True
 
     def step(self, now: float) -> float | None:
--- a/ochrespan/contracts/gate.py
+++ b/ochrespan/contracts/gate.py
@@ -43,6 +43,7 @@
     # ---- the core's side ----
 
     def admit(self, now: float, request: core.Request) -> Grant | core.NotCovered | core.OverBudget:
+        """Admits one of the core's requests, or says why not."""
         claim = request.claim or core.Claim()
         demand = Demand(request.cls, request.units, request.plan, claim.token, request.volume, claim.bucket)
         got = self.admission.admit(now, demand, claim.contract)
@@ -57,14 +58,17 @@
         return core.NotCovered(got.rule, got.team, got.words)
 
     def extend(self, now: float, hold: Grant) -> None:
+        """Pays for one more attempt, if the budgets bear it."""
         self.admission.extend(now, hold)
 
     def settle(self, now: float, hold: Grant, sent: int, ran: int) -> None:
+        """The end of what was admitted: so many attempts sent, so many of which may have run."""
         if part := self._parts.get(hold.team):
             part.note_spent(ran * hold.unit_figure)
         self.admission.settle(now, hold, sent, ran)
 
     def heard(self, now: float, hold: Grant, units: float) -> None:
+        """So many units of the request's volume were served through other fronts."""
         if part := self._parts.get(hold.team):
             part.note_heard(units)
 
@@ -86,6 +90,7 @@
         return got if isinstance(got, Contract) else core.NotCovered(got.rule, got.team, got.words)
 
     def covers(self, contract: Contract, cls: str) -> core.NotCovered | None:
+        """Why a contract does not cover a class now; None: it does."""
         why = self.admission.covered(contract, Demand(cls, 0.0), self.now())
         return why and core.NotCovered(why.rule, why.team, why.words)
 
--- a/ochrespan/contracts/lending.py
+++ b/ochrespan/contracts/lending.py
@@ -32,9 +32,11 @@
         self._numbers = count()
 
     def at(self, when: int, call: Callable[[int], None]) -> None:
+        """Calls back once `when` has come, in microseconds."""
         heapq.heappush(self._due, (when, next(self._numbers), call))
 
     def run(self, now: int) -> None:
+        """Makes all calls that are due."""
         while self._due and self._due[0][0] <= now:
             when, _, call = heapq.heappop(self._due)
             call(when)
@@ -68,6 +70,7 @@
 
     @property
     def stock(self) -> int:
+        """All that the pool holds."""
         return self.unassigned + self._unclaimed + sum(share.credit for share in self._asking)
 
     def _passing(self) -> bool:
@@ -172,6 +175,7 @@
         return own + more
 
     def put_back(self, share: Share, amount: int) -> None:
+        """Returns what a child took and has not used."""
         self.taken -= amount
         if share in self._asking:
             self._credit(share, amount)
--- a/ochrespan/contracts/levels.py
+++ b/ochrespan/contracts/levels.py
@@ -56,18 +56,22 @@
 
     @property
     def path(self) -> str:
+        """The names from the organisation down, with slashes; empty: the installation."""
         return self.terms.path
 
     def count(self, what: str) -> None:
+        """Counts an admission, an end or a refusal."""
         self.counts[what] = self.counts.get(what, 0) + 1
 
     def up(self) -> Iterator[Level]:
+        """This level and those above it, from below."""
         level: Level | None = self
         while level is not None:
             yield level
             level = level.parent
 
     def sync(self, now: int) -> None:
+        """Brings budgets and windows up to that time."""
         if self.units is not None:
             self.units.sync(now)
         if self.attempts is not None:
@@ -139,6 +143,7 @@
             self.parent.pool.change_rate(self.reserve.rate, now)
 
     def end_lending(self, now: int) -> None:
+        """The reserve is needed by its owner, or changes."""
         if self.lending_since is not None and self.reserve is not None:
             self.lent += self.reserve.rate * max(0, now - self.lending_since)
             self.lending_since = None
@@ -186,6 +191,7 @@
                 pool.deposit(over)
 
     def funds_wait(self, amount: int) -> int | None:
+        """Microseconds until there are funds of that amount, about; None: nothing flows in."""
         waits = [self.reserve.wait(amount)] if self.reserve is not None else []
         if self.parent is not None and self.parent.pool is not None and self.share is not None:
             waits.append(self.parent.pool.wait(self.share, amount))
--- a/ochrespan/contracts/section.py
+++ b/ochrespan/contracts/section.py
@@ -23,6 +23,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Contracts:
+    """What the operator's file says of contracts, checked."""
+
     book: Book
     platform: bool  # whether requests in the platform's protocol need a contract
 
@@ -30,6 +32,7 @@
 def read(
     tables_: Mapping[str, Any], settings: api.Settings, faults: Faults, earlier: Mapping[str, Any]
 ) -> Contracts:
+    """The book of contracts; faults are collected in `faults`."""
     told = ContractsTable(platform="open")  # teams alone are the object API's
     if "contracts" in tables_:
         told = table(ContractsTable, tables_["contracts"], "[contracts]", faults) or told
@@ -66,9 +69,11 @@
     # ---- levels ----
 
     def organisation(self, place: str, told: OrganisationTable) -> None:
+        """Takes one organisation."""
         self._level(place, self._terms(place, told, "organisation", ""))
 
     def team(self, place: str, told: TeamTable, has_services: bool) -> None:
+        """Takes one team, which sends by itself unless it has services."""
         if told.name in self._teams:
             self._faults.add(f"{place} name", told.name, "a name that no other team has")
             return
@@ -100,6 +105,7 @@
             self._sender(place, terms, told, told)
 
     def service(self, place: str, told: ServiceTable) -> None:
+        """Takes one service of a team."""
         if told.team not in self._teams:
             self._faults.choice(f"{place} team", told.team, self._teams)
             return
--- a/ochrespan/contracts/start.py
+++ b/ochrespan/contracts/start.py
@@ -18,6 +18,7 @@
 
 
 def start(section: Contracts, core: Core) -> Running:
+    """Puts the gate before the core."""
     gate = ContractGate(section.book, core.broker.now)
     core.broker.admit_by(gate)
     core.gate, core.govern_platform = gate, section.platform
--- a/ochrespan/contracts/tables.py
+++ b/ochrespan/contracts/tables.py
@@ -20,6 +20,8 @@
 
 
 class ContractsTable(Table):
+    """[contracts]: the installation."""
+
     platform: Literal["contracts", "open"] = "contracts"  # whether the platform's protocol needs a contract too
     fronts: Fronts | None = None
     capacity_units_per_s: Figure | None = None
@@ -27,6 +29,8 @@
 
 
 class BudgetTable(Table):
+    """Upper bounds of one level."""
+
     units_per_s: Figure | None = None
     burst_units: Figure | None = None
     attempts_per_s: Figure | None = None
@@ -37,11 +41,15 @@
 
 
 class ReserveTable(Table):
+    """What is always there for its owner."""
+
     units_per_s: Figure
     burst_units: Figure | None = None
 
 
 class LevelTable(Table, kw_only=True):
+    """What all levels share."""
+
     name: Name
     weight: Weight = 1.0
     reserve: ReserveTable | None = None
@@ -49,6 +57,8 @@
 
 
 class OrganisationTable(LevelTable, kw_only=True):
+    """[[organisation]]."""
+
     pass
 
 
@@ -69,6 +79,8 @@
 
 
 class TeamTable(SenderTable, kw_only=True):
+    """[[team]]."""
+
     plan: str
     organisation: str = ""
     read: str = ""  # the classes of the object API's requests
@@ -78,4 +90,6 @@
 
 
 class ServiceTable(SenderTable, kw_only=True):
+    """[[service]]."""
+
     team: str
--- a/ochrespan/contracts/terms.py
+++ b/ochrespan/contracts/terms.py
@@ -45,6 +45,7 @@
 
     @property
     def path(self) -> str:
+        """The names from the top down, with slashes."""
         return f"{self.parent}/{self.name}" if self.parent else self.name
 
 
@@ -70,10 +71,12 @@
 
     @property
     def path(self) -> str:
+        """Its level's path."""
         return self.terms.path
 
 
 def digest(token: str) -> str:
+    """A token as the book knows it."""
     return hashlib.sha256(token.encode()).hexdigest()
 
 
@@ -98,6 +101,7 @@
         self.by_token.update(dict.fromkeys(contract.tokens, contract))
 
     def own(self, path: str, volumes: Iterable[str], buckets: Iterable[str]) -> None:
+        """These volumes and buckets belong to the level of that path."""
         self.by_volume.update(dict.fromkeys(volumes, path))
         self.by_bucket.update(dict.fromkeys(buckets, path))
 
--- a/ochrespan/contracts/window.py
+++ b/ochrespan/contracts/window.py
@@ -16,6 +16,8 @@
 
 @dataclass(slots=True, eq=False)
 class Window:
+    """One budget and what has been used of it in the current window."""
+
     span: int
     quota: int
     number: int  # of this window since 1970
@@ -29,6 +31,7 @@
         return self.quota - self.spent - self.held
 
     def sync(self, now: int) -> None:
+        """Begins a new window where the clock has passed the end of the last."""
         number = now // self.span
         if number > self.number:
             self.number = number
@@ -41,6 +44,7 @@
         return self.number
 
     def settle(self, number: int, held: int, cost: int) -> None:
+        """Ends a hold that was made in the window of that number with what it did cost."""
         if number == self.number:
             self.held -= held
             self.spent += cost
--- a/ochrespan/http2/exchange.py
+++ b/ochrespan/http2/exchange.py
@@ -65,9 +65,11 @@
 
     @property
     def body_ended(self) -> bool:
+        """Whether nothing of the body is left to read."""
         return self._ended and not self._parts
 
     async def read_some(self) -> bytes:
+        """The next bytes of the body; empty at its end."""
         while True:
             if self._parts:
                 part = self._parts.pop(0)
@@ -95,11 +97,13 @@
         return b"".join(parts)
 
     async def go_on(self) -> None:
+        """Tells a client that waits for it to send its body."""
         self._connection.send_interim(self.stream, HTTPStatus.CONTINUE)
 
     async def start(
         self, status: int, headers: Mapping[str, str], length: int | None, close: bool = False
     ) -> None:
+        """Sends the head of an answer whose body follows in pieces."""
         self.started = True
         fields = _fields(headers)
         if length is not None:
@@ -109,14 +113,17 @@
         self._connection.send_head(self.stream, status, fields, ended)
 
     async def write(self, data: bytes) -> None:
+        """Sends a piece of the body; waits while too much of it is pending."""
         await self._connection.write(self.stream, data, ended=False)
 
     async def finish(self) -> None:
+        """Ends the answer."""
         if not self.finished:
             self.finished = True
             await self._connection.write(self.stream, b"", ended=True)
 
     def break_off(self) -> None:
+        """Ends an answer short of its length, so that the client sees it."""
         self.finished = True
         self._connection.reset(self.stream, ErrorCodes.INTERNAL_ERROR)
 
--- a/ochrespan/metrics/exporters.py
+++ b/ochrespan/metrics/exporters.py
@@ -18,24 +18,30 @@
 
 log = logging.getLogger(__name__)
 
-PATIENCE = timedelta(seconds=2)  # for one round with a sink
-AT_ONCE = 200  # readings collected in one turn of the loop
+ROUND_TIMEOUT = timedelta(seconds=2)  # for one round with a sink
+READINGS_A_TURN = 200  # readings collected in one turn of the loop
 MOST_PACKET = 1452  # collectd's own size of a packet
+# collectd's kinds of parts, and of values
 HOST, PLUGIN, INSTANCE, TYPE, TYPE_INSTANCE, VALUES, TIME_HR, INTERVAL_HR = 0, 2, 3, 4, 5, 6, 8, 9
 GAUGE, DERIVE = 1, 2
-HR = 1 << 30  # collectd's fractions of a second
+HIGH_RESOLUTION = 1 << 30  # collectd's fractions of a second
+MAX_TEXT = 63  # bytes of a text, before its end mark
+NUMBER_PART, VALUE_PART = 12, 15  # bytes of such a part
 
 
 class Exporter(ABC):
+    """Sends all sources' readings to one sink, again and again."""
+
     def __init__(self, sink: Sink, host: str, sources: list[Callable[[], Iterator[Reading]]]) -> None:
         self.sink, self.host, self._sources = sink, plain(host), sources
 
     async def run(self) -> None:
+        """Sends until it is cancelled; a sink that fails is logged once and tried again."""
         failing = False
         while True:
             await asyncio.sleep(self.sink.every.total_seconds())
             try:
-                async with asyncio.timeout(PATIENCE.total_seconds()):
+                async with asyncio.timeout(ROUND_TIMEOUT.total_seconds()):
                     await self.send(await self._collect(), datetime.now(UTC))
                 if failing:
                     log.info("sink answers again", extra={"sink": type(self).__name__})
@@ -52,21 +58,26 @@
         for source in self._sources:
             for reading in source():
                 found.append(reading)
-                if len(found) % AT_ONCE == 0:
+                if len(found) % READINGS_A_TURN == 0:
                     await asyncio.sleep(0)
         return found
 
     @abstractmethod
-    async def send(self, found: list[Reading], at: datetime) -> None: ...
+    async def send(self, found: list[Reading], at: datetime) -> None:
+        """One round of readings."""
 
     @abstractmethod
-    def close(self) -> None: ...
+    def close(self) -> None:
+        """Lets go of the connection to the sink."""
 
 
 class Graphite(Exporter):
+    """Lines of text over TCP."""
+
     _writer: asyncio.StreamWriter | None = None
 
     def lines(self, found: list[Reading], at: datetime) -> bytes:
+        """The readings in Graphite's plaintext protocol."""
         stamp = int(at.timestamp())
         return "".join(
             f"{self.sink.prefix}.{self.host}.{r.group}.{r.name} {r.value:.10g} {stamp}\n" for r in found).encode()
@@ -86,28 +97,33 @@
 
 
 def text_part(kind: int, text: str) -> bytes:
-    body = text.encode()[:63] + b"\0"
+    """A part with a text, which is cut where it is too long."""
+    body = text.encode()[:MAX_TEXT] + b"\0"
     return struct.pack("!HH", kind, 4 + len(body)) + body
 
 
 def number_part(kind: int, number: int) -> bytes:
-    return struct.pack("!HHQ", kind, 12, number)
+    """A part with a whole number."""
+    return struct.pack("!HHQ", kind, NUMBER_PART, number)
 
 
 def values_part(reading: Reading) -> bytes:
     """One value: a derive is a signed whole number in network order, a gauge a double in x86 order."""
-    head = struct.pack("!HHHB", VALUES, 15, 1, DERIVE if reading.counter else GAUGE)
+    head = struct.pack("!HHHB", VALUES, VALUE_PART, 1, DERIVE if reading.counter else GAUGE)
     body = struct.pack("!q", round(reading.value)) if reading.counter else struct.pack("<d", reading.value)
     return head + body
 
 
 class Collectd(Exporter):
+    """Packets of collectd's binary protocol over UDP."""
+
     _transport: asyncio.DatagramTransport | None = None
 
     def packets(self, found: list[Reading], at: datetime) -> Iterator[bytes]:
+        """The readings in as few packets as they fit into."""
         head = text_part(HOST, self.host)
-        head += number_part(TIME_HR, int(at.timestamp() * HR))
-        head += number_part(INTERVAL_HR, int(self.sink.every.total_seconds() * HR))
+        head += number_part(TIME_HR, int(at.timestamp() * HIGH_RESOLUTION))
+        head += number_part(INTERVAL_HR, int(self.sink.every.total_seconds() * HIGH_RESOLUTION))
         head += text_part(PLUGIN, self.sink.prefix)
         packet = head
         for reading in found:
--- a/ochrespan/metrics/readings.py
+++ b/ochrespan/metrics/readings.py
@@ -11,6 +11,7 @@
 
 
 def readings(broker: Broker) -> Iterator[Reading]:
+    """The core's figures: requests held, attempts, outcomes, and the use of each plan and class."""
     counts = broker.counts
     yield Reading("front", "held", broker.held, False)
     yield Reading("front", "attempts", counts.attempts, True)
--- a/ochrespan/metrics/section.py
+++ b/ochrespan/metrics/section.py
@@ -14,6 +14,8 @@
 
 
 class SinkTable(Table):
+    """The table of one exporter, as it is written."""
+
     address: str
     every_s: Annotated[float, msgspec.Meta(gt=0, lt=86400)] = 10.0
     prefix: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_.-]{1,60}$")] = "ochrespan"
@@ -30,11 +32,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Metrics:
+    """The exporters that are set up."""
+
     graphite: Sink | None = None
     collectd: Sink | None = None
 
 
 def read(tables: Mapping[str, Any], settings: api.Settings, faults: Faults, earlier: Mapping[str, Any]) -> Metrics:
+    """The checked sections; faults are collected in `faults`."""
     return Metrics(**{name: _sink(f"[{name}]", value, faults) for name, value in tables.items()})
 
 
--- a/ochrespan/metrics/start.py
+++ b/ochrespan/metrics/start.py
@@ -9,6 +9,7 @@
 
 
 def start(section: Metrics, core: Core) -> Running:
+    """One job for each exporter."""
     core.figures.append(lambda: readings(core.broker))
     exporters = [
         kind(sink, core.told.name, core.figures)
--- a/ochrespan/objects/start.py
+++ b/ochrespan/objects/start.py
@@ -13,6 +13,7 @@
 
 
 def start(section: Objects, core: Core) -> Running:
+    """The object API's server and its address."""
     settings, links = core.told.settings, core.told.links
     deadlines = {cls.name: timedelta(seconds=cls.deadline) for cls in settings.classes.values()}
     store = ChunkStore(core.broker, core.client, links.shards, settings.most_units, deadlines)
--- a/tests/books.py
+++ b/tests/books.py
@@ -11,6 +11,7 @@
 
 def team(name: str, parent: str = "", *, reserve: float = 0.0, weight: float = 1.0, classes=("read",), tokens=(),
          volumes=(), per_request: float | None = None, **budget) -> tuple[Contract, tuple[str, ...]]:
+    """A contract and the volumes that it owns."""
     more = {key: budget.pop(key) for key in ("withdrawn", "withdrawn_classes", "begins", "ends") if key in budget}
     terms = Terms(name, "team", parent, weight, Reserve(reserve), Budget(**budget))
     contract = Contract(terms, "gold", frozenset(classes), tokens=frozenset(map(digest, tokens)),
@@ -20,6 +21,7 @@
 
 def book(*teams, capacity: float | None = None, fronts: int = 1, most_units: float = 8.0, most_attempts: int = 3,
          levels: tuple[Terms, ...] = ()) -> Book:
+    """A book of these contracts."""
     made = Book(Reserve(capacity) if capacity else None, fronts, most_units, most_attempts)
     for terms in levels:
         made.levels[terms.path] = terms
@@ -38,10 +40,12 @@
         self.count = 0
 
     def ask(self, name: str, units: float = 2.0, **more) -> Grant | NotCovered | OverBudget:
+        """One request of that team."""
         demand = {"cls": "read", "volume": f"v-{name}"} | more
         return self.admission.admit(self.now, Demand(units=units, **demand))
 
     def end(self, grant: Grant, sent: int = 1, ran: int | None = None) -> None:
+        """The end of an admitted request."""
         self.admission.settle(self.now, grant, sent, sent if ran is None else ran)
 
     def run(self, rates: dict[str, float], seconds: float, units: float = 2.0, takes: float = 0.05,
--- a/tests/h2client.py
+++ b/tests/h2client.py
@@ -43,6 +43,8 @@
 
 
 class Client:
+    """One connection."""
+
     def __init__(self, port: int, window: int = 1 << 20) -> None:
         self.port, self.window = port, window
         self.streams: dict[int, Got] = {}
@@ -68,6 +70,7 @@
         self.writer.transport.abort()
 
     def flush(self) -> None:
+        """Writes what h2 has to send."""
         if data := self.h2.data_to_send():
             self.writer.write(data)
 
@@ -116,6 +119,7 @@
             got.done.set()
 
     def begin(self, method: str, path: str, headers: dict[str, str] | None = None, end: bool = True) -> int:
+        """Sends the head of a request and returns its stream."""
         stream = self.h2.get_next_available_stream_id()
         self.streams[stream] = Got()
         fields = [(":method", method), (":scheme", "http"), (":authority", "front"), (":path", path)]
@@ -124,6 +128,7 @@
         return stream
 
     async def send(self, stream: int, data: bytes, end: bool = True) -> None:
+        """Sends a body as the peer's windows allow."""
         at = 0
         while at < len(data) or (end and not data):
             room = min(self.h2.local_flow_control_window(stream), self.h2.max_outbound_frame_size)
@@ -142,15 +147,18 @@
                 return
 
     def reset(self, stream: int, code: int = 8) -> None:
+        """Gives a stream up."""
         self.h2.reset_stream(stream, code)
         self.flush()
 
     async def answer(self, stream: int) -> Got:
+        """Waits for a stream's end."""
         got = self.streams[stream]
         await got.done.wait()
         return got
 
     async def call(self, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None) -> Got:
+        """A whole request and its answer."""
         stream = self.begin(method, path, headers, end=not body)
         if body:
             await self.send(stream, body)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -18,6 +18,7 @@
 
 
 def settings(**changes) -> api.Settings:
+    """Settings with small figures, changed as told."""
     base = {
         "seed": 7,
         "heads": 2,
@@ -50,6 +51,7 @@
         self.give(api.NodeList(kind, [entry(i) for i in range(nodes)]))
 
     def give(self, *events: api.Event) -> list[api.Action]:
+        """Gives events to the scheduler and checks its actions."""
         actions = self.head.handle(self.now, list(events))
         self.actions += actions
         for action in actions:
@@ -68,6 +70,7 @@
         return actions
 
     def take(self, cls: str = "read", plan: str = "free", **more) -> str:
+        """One request; returns its id."""
         self.count += 1
         name = more.pop("id", f"r{self.count}")
         more = {"volume": "v", "time_left": 4.0, "units": 2, "shard": 0} | more
@@ -75,6 +78,7 @@
         return name
 
     def answer(self, request_id: str, status: api.Status = api.Status.OK, attempt: int | None = None, **more):
+        """The outcome of its last attempt."""
         node = next(s.node for _, s in reversed(self.sends) if s.request_id == request_id)
         attempt = self.attempts[request_id] - 1 if attempt is None else attempt
         return self.give(api.Outcome(request_id, attempt, node, status, 0.05,
@@ -92,10 +96,12 @@
         self.give(api.Timer(1))
 
     def sent(self, request_id: str | None = None) -> list[api.Send]:
+        """All attempts, or those of one request."""
         return [s for _, s in self.sends if request_id in (None, s.request_id)]
 
 
 def entry(shard: int, name: str = "", **more) -> api.NodeEntry:
+    """A chunk server of that shard."""
     return api.NodeEntry(name or f"n{shard}", shard=shard, zone=more.pop("zone", "z"), **more)
 
 
--- a/tests/http2_cases.py
+++ b/tests/http2_cases.py
@@ -26,28 +26,35 @@
 
 
 def frame(kind: int, payload: bytes = b"", flags: int = 0, stream: int = 0, length: int | None = None) -> bytes:
+    """One frame; `length` where it is to lie."""
     size = len(payload) if length is None else length
     return size.to_bytes(3) + bytes([kind, flags]) + stream.to_bytes(4) + payload
 
 
 def block(fields: list[tuple[str, str]]) -> bytes:
+    """A field block."""
     return Encoder().encode([(name.encode(), value.encode()) for name, value in fields], huffman=False)
 
 
 def request(stream: int = 1, fields=None, flags: int = END_STREAM | END_HEADERS) -> bytes:
+    """A HEADERS frame."""
     return frame(HEADERS, block(GET if fields is None else fields), flags, stream)
 
 
 def setting(number: int, value: int) -> bytes:
+    """One entry of a SETTINGS frame."""
     return number.to_bytes(2) + value.to_bytes(4)
 
 
 def u32(value: int) -> bytes:
+    """Four bytes in network order."""
     return value.to_bytes(4)
 
 
 @dataclass(frozen=True)
 class Case:
+    """What is sent, and what a server must make of it."""
+
     section: str
     what: str
     sent: bytes
@@ -66,10 +73,12 @@
 
 
 def without(name: str) -> list[tuple[str, str]]:
+    """The plain request's fields but one."""
     return [field for field in GET if field[0] != name]
 
 
 def cases() -> Iterator[Case]:
+    """All cases, by section."""
     # 3.4 preface
     yield Case("3.4", "the preface, settings, a request", request(), SERVED)
     for what, preface in (("an HTTP/1.1 request", b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" + b" " * 8),
@@ -257,6 +266,7 @@
 
 
 def connect(limits: Limits | None = None) -> Connection:
+    """A server connection with a small limit of streams."""
     return Connection(limits or Limits(streams=4), BufferBudget(1 << 24), 0.0)
 
 
@@ -270,6 +280,7 @@
 
 
 def outcome(case: Case) -> str:
+    """What the server made of it."""
     connection = connect()
     told = connection.receive(case.preface + case.sent, 1.0)
     if connection.over:
@@ -287,6 +298,7 @@
 
 
 def page() -> str:
+    """The conformance page."""
     lines = ["# HTTP/2 conformance", "",
              "Made by `python -m tests.http2_cases`; `tests/test_http2_conformance.py` holds each line. Sections are",
              "of RFC 9113 unless another is named. Where two outcomes stand, the RFC lets a server choose.", "",
