--- a/ochrespan/control_plane/quota.py
+++ b/ochrespan/control_plane/quota.py
@@ -13,11 +13,11 @@
 
 GRANT_LIFETIME_S = 0.5
 SEND_DELAY_S = 0.3  # from the moment when tokens are taken to the arrival of the request at a server
-SURE_PART = 0.5  # of what the bound leaves above rate and burst
+SURE_PART = 0.8  # of what the bound leaves above rate and burst
 RATE_PART = 0.5  # of the overshoot that goes into the rate
 SHORTEST_WAIT_S = 0.001
 AHEAD_PART = 0.25  # of the bucket's level: at most this much is granted for requests that have not come yet
-EVEN_PART = 0.2  # of the sure share is dealt evenly to the routers, the rest by what they were granted
+EVEN_PART = 0.8  # of the sure share is dealt evenly, as a part has to hold a whole request; the rest by past grants
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,9 +132,9 @@
 
 
 class SureShare:
-    """What a router may spend of a tenant's tokens where no owner answers.
+    """What a router may spend of a tenant's tokens where no owner answers, or one that began with an empty bucket.
 
-    The routers' parts add up to one at most: a small part is dealt evenly, the rest by what each was granted lately.
+    The routers' parts add up to one at most: most is dealt evenly, the rest by what each was granted lately.
     """
 
     def __init__(self, terms: QuotaTerms) -> None:
--- a/ochrespan/control_plane/quota_client.py
+++ b/ochrespan/control_plane/quota_client.py
@@ -1,8 +1,9 @@
 """A router's end of the quotas: takes tokens for requests out of grants of the tenants' owners.
 
 `take` is called when a request comes; where the grants at hand do not suffice it asks the owner, and waits for a short
-time. A tenant with many requests gets grants ahead of them, so that most requests need not wait. A request that is sent
-later than SEND_DELAY_S after that calls `renew` first, since its tokens count when it reaches its server.
+time. Where none answers, or where the owner is new and began with an empty bucket, the router spends its part of the
+sure share. A tenant with many requests gets grants ahead of them, so that most requests need not wait. A request that
+is sent later than SEND_DELAY_S after that calls `renew` first, since its tokens count when it reaches its server.
 """
 
 from __future__ import annotations
@@ -138,9 +139,7 @@
         state = self._states.get(tenant)
         if state is None or taken.holds(self._clock()):
             return taken
-        if taken.epoch is None:
-            return Taken(True, 0.0, taken.tokens, None, self._clock())
-        state.granted.give_back(taken.tokens, taken.epoch)
+        self.release(tenant, taken)
         return self._take_by_asking(tenant, taken.tokens)
 
     def release(self, tenant: str, taken: Taken) -> None:
@@ -155,11 +154,10 @@
         now = self._clock()
         if state.granted.take(tokens, now):
             return self._taken(tenant, tokens, now)
-        if grant is not None:
-            return Taken(False, grant.retry_after_s)
-        if state.sure.take(tokens, now):
+        has_settled = grant is not None and grant.owner_age_s >= self._bounds.window_s
+        if not has_settled and state.sure.take(tokens, now):
             return Taken(True, 0.0, tokens, None, now)
-        return Taken(False, NO_OWNER_RETRY_S)
+        return Taken(False, NO_OWNER_RETRY_S if grant is None else grant.retry_after_s)
 
     def _taken(self, tenant: str, tokens: float, now: float) -> Taken:
         state = self._states.get(tenant)
--- a/ochrespan/control_plane/quota_messages.py
+++ b/ochrespan/control_plane/quota_messages.py
@@ -28,6 +28,7 @@
     tokens: float
     retry_after_s: float
     epoch: int  # names the owner's time of ownership
+    owner_age_s: float = 0.0  # for how long it has been the owner
 
 
 @message("quota.elsewhere")
--- a/ochrespan/control_plane/quota_owner.py
+++ b/ochrespan/control_plane/quota_owner.py
@@ -66,14 +66,15 @@
             leader = self._groups.leader(shard)
             return NotTheOwner(*leader) if leader is not None else NotTheOwner()
         tenant, epoch, now = self._tenant(request.tenant), self._epochs[shard], self._clock()
+        age = now - self._owner_since[shard]
         if tenant is None:
-            return Grant(0.0, LONGEST_RETRY_S, epoch)
+            return Grant(0.0, LONGEST_RETRY_S, epoch, age)
         bucket = self._bucket(tenant, shard, now)
         if request.epoch == epoch and request.left_over > 0:
             bucket.put_back(request.left_over)
         if not bucket.take(request.needed, now, on_credit=True):
-            return Grant(0.0, min(LONGEST_RETRY_S, bucket.wait_for(request.needed, now)), epoch)
-        return Grant(request.needed + bucket.take_up_to(request.ahead, now), 0.0, epoch)
+            return Grant(0.0, min(LONGEST_RETRY_S, bucket.wait_for(request.needed, now)), epoch, age)
+        return Grant(request.needed + bucket.take_up_to(request.ahead, now), 0.0, epoch, age)
 
     def _owns(self, shard: int) -> bool:
         return shard in self._owner_since and self._groups.quorum_age(shard) < LEASE_S and self._groups.is_leader(shard)
