--- a/ochrespan/control_plane/api.py
+++ b/ochrespan/control_plane/api.py
@@ -10,6 +10,7 @@
 
 from gevent.pywsgi import WSGIServer
 
+from ..observability.registry import CONTENT_TYPE, Registry
 from ..transport.tcp import Address
 from .answers import (
     BAD_REQUEST,
@@ -33,6 +34,7 @@
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 INSTANCES_PATH = "/api/instances/"
+FIGURES_PATH = "/api/metrics"
 
 Environment = dict[str, Any]
 Handler = Callable[[Environment], Answer]
@@ -43,14 +45,19 @@
 
 
 class ControlApi:
-    """The WSGI application. `status` gives the document of `GET /api/status`, `ready` tells whether to answer 200."""
+    """The WSGI application. `status` gives the document of `/api/status`, `ready` whether `/api/readyz` says yes."""
 
     def __init__(
-        self, service: ControlService, status: Callable[[], dict[str, Any]], ready: Callable[[], bool]
+        self,
+        service: ControlService,
+        status: Callable[[], dict[str, Any]],
+        ready: Callable[[], bool],
+        registry: Registry,
     ) -> None:
         self._service = service
         self._status = status
         self._ready = ready
+        self._registry = registry
         self._routes: dict[str, dict[str, Handler]] = {
             "/api/config": {"GET": self._get_config, "PUT": self._put_config, "PATCH": self._patch_config},
             "/api/readyz": {"GET": self._get_ready},
@@ -59,6 +66,8 @@
         self._instance_methods: dict[str, Handler] = {"PUT": self._put_instance, "DELETE": self._delete_instance}
 
     def __call__(self, environment: Environment, start_response: Callable[..., Any]) -> Iterable[bytes]:
+        if (environment["REQUEST_METHOD"], environment["PATH_INFO"]) == ("GET", FIGURES_PATH):
+            return self._figures(start_response)
         answer = self._answer(environment)
         body = answer.body
         headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
@@ -67,11 +76,17 @@
         start_response(f"{answer.status} {HTTPStatus(answer.status).phrase}", headers)
         return [body]
 
+    def _figures(self, start_response: Callable[..., Any]) -> Iterable[bytes]:
+        body = self._registry.render().encode()
+        start_response("200 OK", [("Content-Type", CONTENT_TYPE), ("Content-Length", str(len(body)))])
+        return [body]
+
     def _answer(self, environment: Environment) -> Answer:
         path, method = environment["PATH_INFO"], environment["REQUEST_METHOD"]
         methods = self._instance_methods if path.startswith(INSTANCES_PATH) else self._routes.get(path)
         if methods is None:
-            return refusal(NOT_FOUND, [Finding("path", path, ", ".join((*self._routes, INSTANCES_PATH + "ID")))])
+            allowed = ", ".join((*self._routes, FIGURES_PATH, INSTANCES_PATH + "ID"))
+            return refusal(NOT_FOUND, [Finding("path", path, allowed)])
         handler = methods.get(method)
         if handler is None:
             return refusal(METHOD_NOT_ALLOWED, [Finding("method", method, ", ".join(methods))])
--- a/ochrespan/control_plane/controller_node.py
+++ b/ochrespan/control_plane/controller_node.py
@@ -9,6 +9,7 @@
 import gevent
 
 from ..coordination.shards import ALL_SHARDS, CONFIG_SHARD
+from ..observability.registry import Registry
 from ..transport.rpc import CallServer
 from ..transport.tcp import Address, format_address
 from .api import ControlApi
@@ -70,7 +71,9 @@
         self._instance_owner = InstanceOwner(groups, state.instances, heartbeat_s)
         configuration_owner = ConfigurationOwner(groups, state.configuration)
         self.service = ControlService(groups, configuration_owner, self._instance_owner, state.instances, self._peers)
-        self.api = ControlApi(self.service, self.status, self.is_ready)
+        registry = Registry()
+        self._add_gauges(registry)
+        self.api = ControlApi(self.service, self.status, self.is_ready, registry)
         self._feed = FeedServer(
             groups, state.configuration, state.instances, self._census, self._lag, self._controllers
         )
@@ -129,6 +132,26 @@
             "instances": [record_fields(record) for record in self._state.records()],
         }
 
+    def _add_gauges(self, registry: Registry) -> None:
+        groups, by_shard = self._groups, ("shard",)
+        configuration = self._state.configuration
+        registry.gauge(
+            "ochrespan_configuration_version", "The newest known one.", lambda: configuration.current.version
+        )
+        registry.gauge("ochrespan_instances", "Registered servers.", lambda: len(self._state.records()))
+        registry.gauge("ochrespan_routers", "Living routers.", lambda: len(self._census.routers()))
+        registry.gauge("ochrespan_feed_readers", "Routers that read here.", lambda: len(self._census.readers()))
+        registry.gauges(
+            "ochrespan_shard_leads", "Whether this controller leads it.", by_shard, lambda: _each(groups.is_leader)
+        )
+        registry.gauges(
+            "ochrespan_shard_offset", "Log index that is applied.", by_shard, lambda: _each(groups.applied_index)
+        )
+        registry.gauges(
+            "ochrespan_shard_quorum_age_seconds", "Since a majority was heard of.", by_shard,
+            lambda: _each(groups.quorum_age),
+        )  # fmt: skip
+
     def _shard_status(self, shard: int) -> dict[str, Any]:
         leader = self._groups.leader(shard)
         return {
@@ -144,3 +167,8 @@
 
     def _controllers(self) -> list[tuple[Address, str]]:
         return [(self._address, self._zone), *self._census.controllers()]
+
+
+def _each(read: Callable[[int], float]) -> dict[tuple[str, ...], float]:
+    """A figure of every shard, by the shard's number."""
+    return {(str(shard),): read(shard) for shard in ALL_SHARDS}
--- a/ochrespan/data_plane/dispatcher.py
+++ b/ochrespan/data_plane/dispatcher.py
@@ -6,8 +6,10 @@
 from collections.abc import Iterable
 from typing import Protocol
 
+from ..observability.registry import Registry
 from .deadlines import Deadline, DeadlineHeap
 from .decisions import Action, Outcome, Request, Server
+from .router_figures import RouterFigures
 
 EARLIEST_TICK_S = 0.001
 
@@ -34,9 +36,12 @@
 class Dispatcher:
     """Owns the scheduler. Each request is known here from `submit` to `close`."""
 
-    def __init__(self, scheduler: SchedulerLike, deadlines: DeadlineHeap) -> None:
+    def __init__(
+        self, scheduler: SchedulerLike, deadlines: DeadlineHeap, figures: RouterFigures | None = None
+    ) -> None:
         self._scheduler = scheduler
         self._deadlines = deadlines
+        self._figures = figures or RouterFigures(Registry())
         self._takers: dict[str, DecisionTaker] = {}
         self._tick: Deadline | None = None
         self._tick_at = float("inf")
@@ -59,6 +64,7 @@
         self._scheduler.first_event(time.monotonic(), request_id, latency_s)
 
     def ended(self, request_id: str, outcome: Outcome) -> None:
+        self._figures.ended(outcome)
         now = time.monotonic()
         self._apply(now, self._scheduler.ended(now, request_id, outcome))
 
@@ -79,6 +85,7 @@
 
     def _apply(self, now: float, actions: Iterable[Action]) -> None:
         for action in actions:
+            self._figures.decided(action)
             if taker := self._takers.get(action.request_id):
                 taker.decide(action)
         self._plan_tick(now)
--- a/ochrespan/data_plane/router_node.py
+++ b/ochrespan/data_plane/router_node.py
@@ -10,6 +10,7 @@
 
 import gevent
 
+from ..observability.registry import Registry
 from ..transport.tcp import Address, parse_address
 from .deadlines import DeadlineHeap
 from .decisions import Server
@@ -19,6 +20,7 @@
 from .ingress import IngressServer
 from .quota_ticket import Quotas
 from .readiness import ReadinessServer
+from .router_figures import RouterFigures
 from .routing_table import RoutingTable
 from .server_pools import ServerPools
 
@@ -80,12 +82,23 @@
         table_is_fresh: Callable[[], bool] = lambda: True,
     ) -> None:
         deadlines = DeadlineHeap(gevent.get_hub().loop)
-        self._dispatcher = Dispatcher(scheduler, deadlines)
+        registry = Registry()
+        self._dispatcher = Dispatcher(scheduler, deadlines, RouterFigures(registry))
         self._pools = ServerPools(deadlines)
         self._front = Front(ExchangeTools(self._dispatcher, self._pools, deadlines), table_is_fresh, quotas)
         self.ingress = IngressServer(front, self._front, deadlines, limits.client_connections, limits.body_bytes)
-        self._readiness = ReadinessServer(ready, self.is_ready)
+        self._readiness = ReadinessServer(ready, self.is_ready, registry)
         self._stopping = False
+        self._version = 0
+        self._add_gauges(registry)
+
+    def _add_gauges(self, registry: Registry) -> None:
+        registry.gauge("ochrespan_router_requests", "Requests that are held.", lambda: self._dispatcher.running)
+        registry.gauge(
+            "ochrespan_router_connections", "Connections of clients.", lambda: self.ingress.open_connections
+        )
+        registry.gauge("ochrespan_router_ready", "Whether new connections are welcome.", self.is_ready)
+        registry.gauge("ochrespan_configuration_version", "The configuration in force.", lambda: self._version)
 
     def start(self) -> None:
         """Begins to listen; requests are refused until there is a table."""
@@ -99,6 +112,7 @@
 
     def table_changed(self, table: FleetTable, change: FleetChange) -> None:
         """Takes over a new table."""
+        self._version = table.version
         if self._front.table is None or change.routes or change.tenants or change.limits:
             self._front.table = RoutingTable(table.configuration)
             log.info("configuration in force version=%d routes=%d", table.version, len(table.configuration.routes))
--- a/ochrespan/programs/controller.py
+++ b/ochrespan/programs/controller.py
@@ -16,6 +16,7 @@
 from ..control_plane.peer_addresses import peer_address, seed_peer_addresses
 from ..control_plane.quota_owner import bounds_from
 from ..control_plane.replica_host import HostSettings, ReplicaHost
+from ..observability import logs
 from ..transport.tcp import Address, parse_address
 from .settings import Settings, SettingsFile, settings_path
 
@@ -102,7 +103,7 @@
 
 def main() -> int:
     """Runs a controller until SIGTERM."""
-    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s %(message)s")
+    logs.configure()
     ended = Event()
     gevent.signal_handler(signal.SIGTERM, ended.set)
     gevent.signal_handler(signal.SIGINT, ended.set)
--- a/ochrespan/programs/router.py
+++ b/ochrespan/programs/router.py
@@ -19,6 +19,7 @@
 from ..control_plane.router_quota import configure_quotas, quota_client_for
 from ..data_plane.router_node import DrainTimes, MachineLimits, RouterNode
 from ..data_plane.scheduler import Scheduler
+from ..observability import logs
 from ..transport.tcp import Address, parse_address
 from .settings import Settings, SettingsFile, bound, settings_path
 
@@ -98,7 +99,7 @@
 
 def main() -> int:
     """Runs a router until SIGTERM."""
-    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s %(message)s")
+    logs.configure()
     ended = Event()
     gevent.signal_handler(signal.SIGTERM, ended.set)
     gevent.signal_handler(signal.SIGINT, ended.set)
--- a/ochrespan/programs/settings.py
+++ b/ochrespan/programs/settings.py
@@ -26,6 +26,7 @@
     typed,
     whole,
 )
+from ..observability.logs import DEFAULT_LEVEL, LEVELS, set_level
 from ..transport.tcp import parse_address
 
 log = logging.getLogger(__name__)
@@ -47,6 +48,11 @@
         report(findings, where, show(value), "two rising port numbers")
 
 
+def _log_level(value: Any, where: str, findings: Findings) -> None:
+    if value not in LEVELS:
+        report(findings, where, show(value), ", ".join(LEVELS))
+
+
 class Listen(TypedDict):
     """Addresses for what a process serves; which of them are given depends on its role."""
 
@@ -96,6 +102,7 @@
     contracts: NotRequired[Annotated[list[str], list_of(text())]]
     fault_tolerance: NotRequired[Annotated[FaultTolerance, typed(FaultTolerance)]]
     bounds: NotRequired[dict[str, Any]]
+    log_level: NotRequired[Annotated[str, _log_level]]
 
 
 _check_settings = typed(Settings)
@@ -147,6 +154,7 @@
         self._path = path
         self.current = read_settings(path)
         self._stamp = self._read_stamp()
+        set_level(self.current.get("log_level", DEFAULT_LEVEL))
 
     def watch(self) -> None:
         """Looks for changes until the greenlet is killed."""
@@ -169,6 +177,7 @@
             return
         if fresh != self.current:
             self.current = fresh
+            set_level(fresh.get("log_level", DEFAULT_LEVEL))
             log.info("settings changed path=%s", self._path)
             self.on_change(fresh)
 
--- a/tests/test_control_api.py
+++ b/tests/test_control_api.py
@@ -1,6 +1,7 @@
 """The control interface over HTTP, with controllers that share an in-memory log."""
 
 import pytest
+from geventhttpclient import HTTPClient
 
 from tests.control_plane_world import World, configuration, instance, route, service, tenant
 
@@ -93,3 +94,14 @@
     for finding in document["findings"]:
         assert finding["where"] and finding["found"] and finding["allowed"]
     assert document["findings"] and not any(world.log.commands.values())
+
+
+def test_a_controller_tells_collectors_of_its_shards(world):
+    connection = HTTPClient("127.0.0.1", world.controllers[0].http.server_port, connection_timeout=5, network_timeout=5)
+    try:
+        answer = connection.request("GET", "/api/metrics")
+        figures = answer.read().decode()
+    finally:
+        connection.close()
+    assert answer.status_code == 200 and answer["content-type"].startswith("text/plain; version=0.0.4")
+    assert 'ochrespan_shard_leads{shard="0"} ' in figures and "ochrespan_instances 0" in figures
--- a/tests/test_fleet_settings.py
+++ b/tests/test_fleet_settings.py
@@ -1,5 +1,6 @@
 """The settings file of the fleet's programs: what is read, what is refused, and when it is read again."""
 
+import logging
 import os
 
 import pytest
@@ -102,3 +103,25 @@
     assert told[-1] == GOOD and len(told) == 2
     file.poll()
     assert len(told) == 2
+
+
+def test_the_level_of_the_logs_changes_in_service_and_a_level_that_does_not_exist_is_told(tmp_path):
+    path = tmp_path / "node.yaml"
+    path.write_text(yaml.safe_dump(GOOD))
+    root = logging.getLogger()
+    before = root.level
+    try:
+        settings_file = SettingsFile(path)
+        assert root.level == logging.INFO
+        path.write_text(yaml.safe_dump(GOOD | {"log_level": "WARNING"}))
+        settings_file.reload()
+        assert root.level == logging.WARNING
+        path.write_text(yaml.safe_dump(GOOD | {"log_level": "LOUD"}))
+        settings_file.reload()
+        assert root.level == logging.WARNING
+    finally:
+        root.setLevel(before)
+    with pytest.raises(CheckFailed) as caught:
+        read_settings(path)
+    (finding,) = caught.value.findings
+    assert finding.where.endswith("log_level") and "LOUD" in finding.found and "DEBUG, INFO" in finding.allowed
--- a/tests/test_router_process.py
+++ b/tests/test_router_process.py
@@ -56,6 +56,13 @@
         client.close()
         return status == 200
 
+    def figures(self) -> str:
+        client = Client(self.ready)
+        client.send(b"GET /api/metrics HTTP/1.1\r\nHost: h\r\n\r\n")
+        body = client.read_answer().body
+        client.close()
+        return body.decode()
+
     def client(self) -> Client:
         return Client(self.front)
 
@@ -210,3 +217,18 @@
     assert router.exit_code() == 78
     router.wait_for(place)
     assert any(place in line and "found" in line and "allowed" in line for line in router.lines)
+
+
+def test_a_router_tells_collectors_what_it_decided(world, start):
+    server = StandInServer(answer(b"hi"))
+    router = start()
+    configure(world)
+    register(world, server)
+    router.wait_for("configuration in force")
+    client = router.client()
+    client.ask("/plain/x", id="q1")
+    assert client.read_answer().status == 200
+    figures = router.figures()
+    assert 'ochrespan_router_decisions_total{decision="send"} 1' in figures
+    assert 'ochrespan_router_attempts_total{outcome="done"} 1' in figures
+    assert "ochrespan_configuration_version 1" in figures and "ochrespan_router_ready 1" in figures
