Simulation: several disks at once, machines that come back after their replacement, other seeds; times

Cores that bear two losses had been tried with one lost disk at a time, and a replaced machine never came back.

--- a/benchmarks/core_times.py
+++ b/benchmarks/core_times.py
@@ -1,8 +1,10 @@
 """Times of the core with real sockets and disks on this machine: election after a kill, hand-over, an order.
 
-    python -m benchmarks.core_times --rounds 20
+    python -m benchmarks.core_times main --rounds 20
+    python -m benchmarks.core_times simulated --rounds 20
 
-Three replica hosts run as processes of their own on loopback addresses; the parent proposes through calls to them.
+`main`: three replica hosts run as processes of their own on loopback addresses; the parent proposes through calls to
+them. `simulated`: the same in virtual time, with links and syncs of 0.5 to 2 ms, so that a busy machine doesn't count.
 """
 
 from __future__ import annotations
@@ -23,11 +25,17 @@
 import gevent
 
 from ochrespan.control_plane.replica_host import HostSettings, NotLeader, NoVerdict, ReplicaHost
+from ochrespan.coordination.core import Role
 from ochrespan.transport import codec, rpc
+from tests.core_sim.node import Node
+from tests.core_sim.world import World
 
 CALL_S = 1.0
 PAUSE_S = 0.005
 SETTLE_S = 1.5
+STEP_S = 0.001
+WARM_UP_S = 6.0
+RESTART_S = 1.0
 
 
 @codec.message("benchmark.propose")
@@ -164,5 +172,70 @@
     return 0
 
 
+def until_led(world: World, began: float) -> float:
+    """Seconds until shard 0 has a leader again that may answer."""
+    while world.leader(0) is None:
+        world.run(STEP_S)
+    return world.now - began
+
+
+def after_loss(seed: int, end: Callable[[Node], None]) -> float:
+    """Seconds without a leader after the one of shard 0 has met its end."""
+    world = World(seed)
+    world.run(WARM_UP_S + seed * STEP_S)
+    end(world.leader(0))
+    return until_led(world, world.now)
+
+
+def acknowledged(seed: int) -> float:
+    """Seconds from an order at its leader to its acknowledgement."""
+    world = World(seed)
+    world.run(WARM_UP_S)
+    began = world.now
+    world.order(0)
+    while not world.checks.acked[0]:
+        world.run(STEP_S)
+    return world.now - began
+
+
+def after_replacement(seed: int) -> float:
+    """Seconds from the start of an empty machine at another address until it is a voter of every group."""
+    world = World(seed)
+    world.run(WARM_UP_S)
+    gone = world.leader(0)
+    gone.lose_power()
+    del world.nodes[gone.address]
+    world.run(RESTART_S)
+    began = world.now
+    new = world.add(len(world.seeds) + 1)
+    new.start(world.seeds, bootstrap=False)
+    while not all(replica.core.is_voter and not replica.core.configuration.joint
+                  for replica in new.table.replicas.values()):
+        world.run(STEP_S)
+    return world.now - began
+
+
+def simulated(*, rounds: int = 20) -> int:
+    """Measures under virtual time.
+
+    :param rounds: seeds for each time
+    """
+    seeds = iter(range(rounds * 5))
+    measure("order acknowledged", rounds, lambda: acknowledged(next(seeds)))
+    measure("leader after a kill", rounds, lambda: after_loss(next(seeds), Node.kill))
+    measure("leader after a loss of power", rounds, lambda: after_loss(next(seeds), Node.lose_power))
+    measure("leader after a planned end", rounds, lambda: after_loss(next(seeds), leave))
+    measure("replacement is a voter", rounds, lambda: after_replacement(next(seeds)))
+    return 0
+
+
+def leave(node: Node) -> None:
+    """A planned end: the hand-over, and the end once another leads."""
+    node.table.leave(node.world.now)
+    node.pump()
+    while node.table.replicas[0].core.role is Role.LEADER:
+        node.world.run(STEP_S)
+
+
 if __name__ == "__main__":
-    sys.exit(defopt.run([main, serve], version=False))
+    sys.exit(defopt.run([main, simulated, serve], version=False))
--- a/tests/core_sim/troubles.py
+++ b/tests/core_sim/troubles.py
@@ -8,13 +8,14 @@
 RESTART_S = (0.2, 1.0)
 CATCH_UP_S = 4.0
 SETTLE_S = 12.0
+SEEDS = 3
 
 
 class Troubles:
     """Draws troubles for a world. A disk is lost only while all others have been well for `CATCH_UP_S`."""
 
     KINDS = ("kill", "power", "kill_all", "power_all", "wipe", "replace", "cut", "cut_one_way", "isolate", "freeze",
-             "slow_disk", "hang_disk", "full_disk", "leave", "final")
+             "slow_disk", "hang_disk", "full_disk", "leave", "final", "turn_seeds")
 
     def __init__(self, world: World, kinds: tuple[str, ...] = KINDS) -> None:
         self.world, self.random, self.kinds = world, world.random, kinds
@@ -75,26 +76,49 @@
         for node in self.world.nodes.values():
             self._power(node)
 
+    def _victims(self, node: Node) -> list[Node]:
+        """Up to as many machines as may be lost at once, `node` first."""
+        others = [other for other in self.world.nodes.values() if other is not node]
+        return [node, *self.random.sample(others, self.random.randrange(self.world.tolerated))]
+
     def _wipe(self, node: Node) -> None:
         if self._calm():
-            node.wipe()
-            self._restart_later(node)
+            for victim in self._victims(node):
+                victim.wipe()
+                self._restart_later(victim)
 
     def _final(self, node: Node) -> None:
-        """One disk is lost while all others lose power."""
+        """As many disks as may be lost are, while all others lose power."""
         if self._calm():
-            self._wipe(node)
+            victims = self._victims(node)
+            for victim in victims:
+                victim.wipe()
+                self._restart_later(victim)
             for other in self.world.nodes.values():
-                if other is not node:
+                if other not in victims:
                     self._power(other)
 
     def _replace(self, node: Node) -> None:
+        """A machine goes for good, or comes back after its replacement has long taken its place."""
         if self._calm():
             node.kill()
             del self.world.nodes[node.address]
             new = self.world.add(self._next_number)
             self._next_number += 1
             self._restart_later(new)
+            if self.random.random() < 0.3:
+                self.world.later(CATCH_UP_S + 2.0, None, lambda: self._come_back(node))
+
+    def _come_back(self, node: Node) -> None:
+        self.told.append(f"{self.world.now:.3f} come back {node.address[0]}")
+        self.world.nodes[node.address] = node
+        self._start(node)
+
+    def _turn_seeds(self, _: Node) -> None:
+        """Processes that start from here on are told other seeds, machines that run now."""
+        running = [node.address for node in self.world.running()]
+        if len(running) >= SEEDS:
+            self.world.seeds = tuple(self.random.sample(running, SEEDS))
 
     def _leave(self, node: Node) -> None:
         if node.running:
