--- a/ochrespan/contracts/gate.py
+++ b/ochrespan/contracts/gate.py
@@ -13,16 +13,19 @@
 from . import admission
 from .accounts import accounts, figures
 from .admission import Admission, Demand, Grant
-from .parts import Part
+from .front_share import FrontShare
 from .terms import Book, Contract
 
 log = structlog.get_logger(__name__)
 
-QUIET = 5.0  # s between log lines of one team and rule: a surge must not fill the log
+NOTICE_INTERVAL = 5.0  # s between log lines of one team and rule: a surge must not fill the log
+MAX_NOTICES = 10_000  # teams and rules of which the last line is remembered
 
 
 @dataclass(slots=True)
-class Told:
+class LastNotice:
+    """When refusals of one team by one rule were last logged."""
+
     at: float
     since: int = 0  # refusals since then that were not told
 
@@ -33,13 +36,14 @@
     def __init__(self, book: Book, clock: Callable[[], float]) -> None:
         self.now = clock
         self.admission = Admission(book, clock())
-        self._told: dict[tuple[str, str], Told] = {}
-        self._parts: dict[str, Part] = {}
+        self._notices: dict[tuple[str, str], LastNotice] = {}
+        self._parts: dict[str, FrontShare] = {}
         self._set_parts()
 
     # ---- the core's side ----
 
     def admit(self, now: float, request: core.Request) -> Grant | core.NotCovered | core.OverBudget:
+        """Admits one of the core's requests, or says why not."""
         claim = request.claim or core.Claim()
         demand = Demand(request.cls, request.units, request.plan, claim.token, request.volume, claim.bucket)
         got = self.admission.admit(now, demand, claim.contract)
@@ -54,26 +58,29 @@
         return core.NotCovered(got.rule, got.team, got.words)
 
     def extend(self, now: float, hold: Grant) -> None:
+        """Pays for one more attempt, if the budgets bear it."""
         self.admission.extend(now, hold)
 
     def settle(self, now: float, hold: Grant, sent: int, ran: int) -> None:
+        """The end of what was admitted: so many attempts sent, so many of which may have run."""
         if part := self._parts.get(hold.team):
             part.note_spent(ran * hold.unit_figure)
         self.admission.settle(now, hold, sent, ran)
 
     def heard(self, now: float, hold: Grant, units: float) -> None:
+        """So many units of the request's volume were served through other fronts."""
         if part := self._parts.get(hold.team):
             part.note_heard(units)
 
     def _tell(self, now: float, team: str, rule: str, **words: object) -> None:
-        if len(self._told) > 10_000:
-            self._told.clear()
-        told = self._told.get((team, rule))
-        if told is not None and now - told.at < QUIET:
+        if len(self._notices) > MAX_NOTICES:
+            self._notices.clear()
+        told = self._notices.get((team, rule))
+        if told is not None and now - told.at < NOTICE_INTERVAL:
             told.since += 1
             return
         log.info("refused by contract", team=team or "-", rule=rule, untold=told.since if told else 0, **words)
-        self._told[team, rule] = Told(now)
+        self._notices[team, rule] = LastNotice(now)
 
     # ---- the operator's side ----
 
@@ -83,6 +90,7 @@
         return got if isinstance(got, Contract) else core.NotCovered(got.rule, got.team, got.words)
 
     def covers(self, contract: Contract, cls: str) -> core.NotCovered | None:
+        """Why a contract does not cover a class now; None: it does."""
         why = self.admission.covered(contract, Demand(cls, 0.0), self.now())
         return why and core.NotCovered(why.rule, why.team, why.words)
 
@@ -105,9 +113,9 @@
         for path, contract in book.contracts.items():
             rate = contract.terms.budget.units_per_s
             if contract.parts == "heard" and rate is not None:
-                self._parts[path] = part = was.get(path) or Part(rate, 1)
+                self._parts[path] = part = was.get(path) or FrontShare(rate, 1)
                 part.rate, part.fronts = rate, max(1, contract.fronts or book.fronts)
-        self.admission.scale = {path: part.scale for path, part in self._parts.items()}
+        self.admission.set_scales({path: part.scale for path, part in self._parts.items()})
 
     def step(self) -> None:
         """Lets the parts move."""
--- a/ochrespan/data_plane/ingress.py
+++ b/ochrespan/data_plane/ingress.py
@@ -19,10 +19,9 @@
 from collections import OrderedDict
 from typing import Any
 
-import gevent
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
-from .client_connection import ClientConnection
+from .client_connection import BodyRoom, ClientConnection
 from .deadlines import DeadlineHeap
 from .exchange import AnswerBroken
 from .front import CONNECTION_KEY, HEAD_KEY, Front
@@ -51,7 +50,7 @@
     def __init__(self, sock: Any, address: Any, server: IngressServer) -> None:
         raw = socket.socket(fileno=sock.detach())
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.connection = ClientConnection(raw, server.deadlines)
+        self.connection = ClientConnection(raw, server.deadlines, server.body_room)
         self.socket = self.connection
         self.client_address = address
         self.server = server
@@ -86,6 +85,8 @@
             return False
         except (ClientGone, TimeoutError):
             return False
+        finally:
+            connection.release_body()
 
     def _take_head(self, head: RequestHead) -> None:
         """What the library's own reading would have set."""
@@ -171,7 +172,7 @@
 
     def _refuse(self, refused: RequestRefused) -> None:
         """Answers a request that could not be read, and closes: what follows it could be anything."""
-        self._answer(OwnAnswer(refused.status, str(refused)))
+        self._answer(OwnAnswer(refused.status, str(refused), retry_after=refused.retry_after))
         self.connection.linger_and_close()
 
     def _answer(self, answer: OwnAnswer) -> None:
@@ -188,12 +189,15 @@
 
     handler_class = IngressHandler
 
-    def __init__(self, listener: Any, front: Front, deadlines: DeadlineHeap, max_connections: int) -> None:
+    def __init__(
+        self, listener: Any, front: Front, deadlines: DeadlineHeap, max_connections: int, max_body_bytes: int
+    ) -> None:
         environment = {"SERVER_NAME": "router"}  # else the library would look the name up
         super().__init__(listener, front, log=None, error_log=None, environ=environment, backlog=BACKLOG)
         self.front = front
         self.deadlines = deadlines
         self.max_connections = max_connections
+        self.body_room = BodyRoom(max_body_bytes)
         self.draining = False
         self._resting: OrderedDict[ClientConnection, None] = OrderedDict()  # longest first
         self._open: set[ClientConnection] = set()
@@ -203,8 +207,9 @@
         return len(self._open)
 
     @property
-    def busy_connections(self) -> int:
-        return len(self._open) - len(self._resting)
+    def connections_with_unserved_bytes(self) -> int:
+        """The number of resting connections on which a request has begun to arrive."""
+        return sum(connection.has_received for connection in self._resting)
 
     @property
     def keep_alive_value(self) -> bytes:
@@ -214,11 +219,11 @@
         self._open.add(connection)
         self._resting[connection] = None
         if len(self._open) > self.max_connections:
-            self._end_resting(next(iter(self._resting)))
+            self._end_resting(next((each for each in self._resting if not each.has_received), connection))
 
     def connection_rests(self, connection: ClientConnection) -> None:
         self._resting[connection] = None
-        if self.draining:
+        if self.draining and not connection.has_received:
             self._end_resting(connection)
 
     def connection_busy(self, connection: ClientConnection) -> None:
@@ -232,7 +237,8 @@
         """Answers carry `Connection: close` from now on, and connections that rest are closed."""
         self.draining = True
         for connection in list(self._resting):
-            self._end_resting(connection)
+            if not connection.has_received:  # what has been read has to be answered
+                self._end_resting(connection)
 
     def break_off(self) -> None:
         """Closes all connections, whatever they carry."""
@@ -242,8 +248,3 @@
     def _end_resting(self, connection: ClientConnection) -> None:
         self._resting.pop(connection, None)
         connection.end()
-
-
-def listen(address: tuple[str, int]) -> Any:
-    """A listening socket that a restarted process can open at once."""
-    return gevent.server.StreamServer.get_listener(address, backlog=BACKLOG)
--- a/ochrespan/programs/router.py
+++ b/ochrespan/programs/router.py
@@ -10,22 +10,31 @@
 import gevent
 from gevent.event import Event
 
-from ..control_plane.checking import CheckFailed
+from ..control_plane.checking import CheckFailed, Finding
 from ..control_plane.control_service import Peers
 from ..control_plane.feed_client import FeedClient
 from ..control_plane.fleet_table import FleetChange, FleetTable
+from ..control_plane.membership import ROUTER_ROLE, MembershipDriver, membership_settings
 from ..control_plane.peer_addresses import seed_peer_addresses
 from ..control_plane.router_quota import configure_quotas, quota_client_for
-from ..data_plane.router_node import DrainTimes, RouterNode
+from ..data_plane.router_node import DrainTimes, MachineLimits, RouterNode
 from ..data_plane.scheduler import Scheduler
-from ..transport.tcp import parse_address
+from ..transport.tcp import Address, parse_address
 from .settings import Settings, SettingsFile, bound, settings_path
 
 log = logging.getLogger(__name__)
 
 EXIT_BAD_SETTINGS = 78
 DEFAULT_GRACE_S = 8.0
-DEFAULT_MAX_DESCRIPTORS = 1024
+DEFAULT_MEMORY_MB = 256
+BYTES_PER_MB = 1_000_000
+
+
+def listen_address(settings: Settings, name: str) -> Address:
+    """Where the router listens for clients (`front`) or for the platform (`ready`); raises CheckFailed."""
+    if name not in settings["listen"]:
+        raise CheckFailed([Finding(f"listen.{name}", "nothing", "IP:PORT")])
+    return parse_address(settings["listen"][name])
 
 
 class Router:
@@ -39,17 +48,21 @@
             bound(settings, "budget_slack", 0),
             bound(settings, "budget_window_s", 10),
         )
-        listen = settings["listen"]
-        max_descriptors = settings.get("limits", {}).get("max_fds", DEFAULT_MAX_DESCRIPTORS)
+        limits = settings.get("limits", {})
+        granted = MachineLimits(
+            limits.get("max_fds", MachineLimits.descriptors),
+            int(limits.get("memory_mb", DEFAULT_MEMORY_MB) * BYTES_PER_MB),
+        )
         self._settings = settings
         self._feed = FeedClient(
             settings["node"], settings["zone"], seed_peer_addresses(settings), self._table_changed
         )
+        self._membership = MembershipDriver(membership_settings(settings, ROUTER_ROLE), self._members_changed)
         self._quotas = quota_client_for(settings["node"], settings.get("bounds", {}), self._feed, Peers())
         self._node = RouterNode(
-            parse_address(listen["front"]),
-            parse_address(listen["ready"]),
-            max_descriptors,
+            listen_address(settings, "front"),
+            listen_address(settings, "ready"),
+            granted,
             scheduler,
             self._quotas,
             table_is_fresh=lambda: self._feed.controller is not None,
@@ -59,6 +72,10 @@
         """Begins to listen and to follow the feed."""
         self._node.start()
         self._feed.start()
+        self._membership.start()
+
+    def _members_changed(self) -> None:
+        self._feed.members_changed(self._membership.routers(), self._membership.controllers())
 
     def _table_changed(self, table: FleetTable, change: FleetChange) -> None:
         if change.tenants or change.routers:
@@ -68,11 +85,14 @@
     def settings_changed(self, settings: Settings) -> None:
         """Takes over what may change while the process runs."""
         self._settings = settings
-        self._feed.seeds_changed(seed_peer_addresses(settings))
+        seeds = seed_peer_addresses(settings)
+        self._feed.seeds_changed(seeds)
+        self._membership.seeds_changed(seeds)
 
     def stop(self) -> None:
         """Ends what runs within the platform's grace, and then the feed."""
         self._node.drain(DrainTimes.within(bound(self._settings, "grace_s", DEFAULT_GRACE_S)))
+        self._membership.stop()
         self._feed.stop()
 
 
@@ -90,12 +110,12 @@
 
     try:
         settings_file = SettingsFile(settings_path(), settings_changed)
+        router = Router(settings_file.current)
     except CheckFailed as error:
         for finding in error.findings:
             log.error("settings refused where=%r found=%r allowed=%r", finding.where, finding.found, finding.allowed)
         return EXIT_BAD_SETTINGS
     gevent.signal_handler(signal.SIGHUP, settings_file.reload)
-    router = Router(settings_file.current)
     router.start()
     gevent.spawn(settings_file.watch)
     ended.wait()
