Quotas: requests wait for tokens that are there soon in place of a refusal at once

Half of the refused requests were within their tenant's limit, since a new owner grants nothing at first and clients come back but once.

--- a/ochrespan/data_plane/client_connection.py
+++ b/ochrespan/data_plane/client_connection.py
@@ -124,6 +124,12 @@
                 raise
             raise ClientGone(str(error)) from error
 
+    def pause(self, seconds: float) -> None:
+        """Waits; raises ClientGone where the client leaves meanwhile."""
+        self._wait_until(lambda: False, time.monotonic() + seconds)
+        if self.gone:
+            raise ClientGone("while its request waited")
+
     def close(self) -> None:
         self._socket.close()
 
--- a/ochrespan/data_plane/front.py
+++ b/ochrespan/data_plane/front.py
@@ -14,7 +14,7 @@
 from .decisions import Request
 from .exchange import Exchange, ExchangeTools
 from .own_answers import OwnAnswer, StartResponse, over_quota
-from .quota_ticket import Quotas, QuotaTicket
+from .quota_ticket import Quotas, TicketDesk
 from .request_head import BAD_REQUEST, RequestHead, RequestRefused
 from .routing_table import RouteEntry, RoutingTable
 from .server_request import ServerRequest
@@ -29,6 +29,8 @@
 NOT_READY_RETRY_AFTER_S = 1.0
 STALE_RETRY_AFTER_S = 0.5
 ROUTE_RANKS = 1000  # a tenant's priority counts before its route's
+TOKEN_WAIT_AIMS = 1.5  # for so many times its aim a request waits for tokens of its tenant
+TOKEN_WAIT_SHARE = 0.35  # of the request's time, at most
 ANSWER_GRACE_S = 0.5  # beyond a request's deadline, for the end of its answer to be written
 LONGEST_DEADLINE_MS = 24 * 3600 * 1000.0
 _MILLISECONDS = re.compile(r"[0-9]{1,12}(\.[0-9]{1,6})?")
@@ -42,7 +44,7 @@
     def __init__(self, tools: ExchangeTools, is_fresh: Callable[[], bool], quotas: Quotas | None = None) -> None:
         self._tools = tools
         self._is_fresh = is_fresh
-        self._quotas = quotas
+        self._tickets = TicketDesk(quotas) if quotas is not None else None
         self._numbers = itertools.count(1)
         self.table: RoutingTable | None = None
 
@@ -79,8 +81,8 @@
         request = self._request(head, request_id, entry, tenant, usage or (0, 0), arrived)
         client.answer_until = request.deadline + ANSWER_GRACE_S
         ticket = None
-        if tenant is not None and self._quotas is not None:
-            ticket = QuotaTicket(self._quotas, tenant.name, cost_of(tenant, usage))
+        if tenant is not None and self._tickets is not None:
+            ticket = self._tickets.take(client, tenant.name, cost_of(tenant, usage), _wait_for_tokens_until(request))
             if not ticket.is_valid:
                 return over_quota(request_id, ticket.retry_after_s)
         server_request = ServerRequest(head, request_id, body, tenant.name if tenant else None)
@@ -124,6 +126,11 @@
         )
 
 
+def _wait_for_tokens_until(request: Request) -> float:
+    most = TOKEN_WAIT_SHARE * (request.deadline - request.arrived)
+    return request.arrived + min(TOKEN_WAIT_AIMS * request.aim, most)
+
+
 def _only_value(head: RequestHead, name: str) -> str | None:
     values = head.values(name)
     if len(values) > 1:
--- a/ochrespan/data_plane/quota_ticket.py
+++ b/ochrespan/data_plane/quota_ticket.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING, Protocol
 
+from .client_connection import ClientConnection
+
 if TYPE_CHECKING:
     from ..control_plane.quota_client import Taken
 
+ASK_INTERVAL_S = 0.05  # between two questions for a tenant, but for the first one of each request
+
 
 class Quotas(Protocol):
     """What is used of `control_plane.quota_client.QuotaClient`; both calls may wait for a short time."""
@@ -39,3 +44,32 @@
         """Whether the request may be sent now."""
         self._taken = self._quotas.renew(self._tenant, self._taken)
         return self._taken.allowed
+
+
+class TicketDesk:
+    """Gives tickets; where a tenant is short of tokens for a moment, its requests wait in place of coming back.
+
+    Of the requests that wait, whichever comes first after ASK_INTERVAL_S asks again, so they do not add up to a load
+    on the tenant's owner. Their order does not matter: where there are too many, serving the oldest first would make
+    all of them late.
+    """
+
+    def __init__(self, quotas: Quotas) -> None:
+        self._quotas = quotas
+        self._asked_at: dict[str, float] = {}
+
+    def take(self, client: ClientConnection, tenant: str, tokens: float, wait_until: float) -> QuotaTicket:
+        """A ticket, valid or not; raises ClientGone where the client leaves while its request waits."""
+        ticket = self._ask(tenant, tokens)
+        while not ticket.is_valid:
+            pause = max(ticket.retry_after_s, ASK_INTERVAL_S)
+            if time.monotonic() + pause > wait_until:
+                break
+            client.pause(pause)
+            if time.monotonic() - self._asked_at[tenant] >= ASK_INTERVAL_S:
+                ticket = self._ask(tenant, tokens)
+        return ticket
+
+    def _ask(self, tenant: str, tokens: float) -> QuotaTicket:
+        self._asked_at[tenant] = time.monotonic()
+        return QuotaTicket(self._quotas, tenant, tokens)
--- a/tests/test_router_quotas.py
+++ b/tests/test_router_quotas.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+import gevent
 import pytest
 
 from ochrespan.control_plane.quota_client import UNLIMITED, Taken
@@ -62,6 +63,42 @@
         assert client.read_answer().status == 200
 
 
+def test_a_request_waits_for_tokens_that_are_there_soon():
+    quotas = ScriptedQuotas([Taken(False, 0.01), Taken(False, 0.01), UNLIMITED])
+    with router(quotas=quotas) as made:
+        made.use(configuration(route(target_latency_ms=5000.0), tenants=(limited(),)), StandInServer(answer()))
+        client = made.client()
+        client.ask(headers=USAGE)
+        assert client.read_answer().status == 200
+    assert len(quotas.taken) == 3
+
+
+def test_a_request_does_not_wait_long_for_tokens():
+    quotas = ScriptedQuotas([Taken(False, 0.01)])
+    with router(quotas=quotas) as made:
+        made.use(configuration(route(target_latency_ms=40.0), tenants=(limited(),)), StandInServer(answer()))
+        client = made.client()
+        client.ask(headers=USAGE)
+        assert client.read_answer().status == 429
+    assert 1 <= len(quotas.taken) <= 2
+
+
+def test_a_client_that_leaves_while_its_request_waits_for_tokens_is_noticed():
+    quotas = ScriptedQuotas([Taken(False, 3.0)])
+    with router(quotas=quotas) as made:
+        made.use(configuration(route(target_latency_ms=50_000.0), tenants=(limited(),)), StandInServer(answer()))
+        client = made.client()
+        client.ask(headers=USAGE)
+        with gevent.Timeout(5):
+            while not quotas.taken:
+                gevent.idle()
+        client.close()
+        with gevent.Timeout(2):
+            while made.server.open_connections:
+                gevent.idle()
+    assert len(quotas.taken) == 1
+
+
 def test_tokens_that_can_not_be_renewed_before_the_send_refuse_the_request():
     server = StandInServer(answer())
     with router(quotas=ScriptedQuotas([UNLIMITED], [REFUSED])) as made:
