--- a/ochrespan/contracts/start.py
+++ b/ochrespan/contracts/start.py
@@ -6,8 +6,8 @@
 import gc
 
 from ..running import Core, Running
+from .front_share import STEP
 from .gate import ContractGate
-from .parts import STEP
 from .section import Contracts
 
 
@@ -18,6 +18,7 @@
 
 
 def start(section: Contracts, core: Core) -> Running:
+    """Puts the gate before the core."""
     gate = ContractGate(section.book, core.broker.now)
     core.broker.admit_by(gate)
     core.gate, core.govern_platform = gate, section.platform
