--- a/ochrespan/observability/logs.py
+++ b/ochrespan/observability/logs.py
@@ -1,4 +1,4 @@
-"""Logs of the fleet's programs: one event a line on standard error, key=value, bounded in rate, level set in service."""
+"""Logs of the fleet's programs: one event a line on standard error, bounded in rate, with a level set in service."""
 
 from __future__ import annotations
 
