Start in parts: clients' addresses, readiness; a new process told to end takes nothing over

The wiring had grown into one long function, and a new process of an upgrade that got SIGTERM while it waited for its list still opened the clients' address for its drain and took connections from the old one. It opens nothing now and never says that it is ready; a test with real processes shows the old one serving on. Ruled out as unnecessary: a state of its own for that wait.

--- a/ochrespan/front.py
+++ b/ochrespan/front.py
@@ -7,12 +7,12 @@
 import logging
 import os
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from contextlib import AsyncExitStack
 from datetime import timedelta
 from functools import partial
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 
@@ -186,29 +186,16 @@
         successor = roster.has_predecessor()
         if successor:  # it takes all that is new from the moment it listens
             await first_list(watch, lifecycle, FIRST_LIST_IN_UPGRADE)
-        fronts: list[tuple[Server, tuple[str, int]]] = [
-            (Http1Server(core.handlers["platform"], MOST_BODY, MOST_WHOLE), told.listen)]
-        fronts += [front for one in running.values() for front in one.fronts]
         listeners: list[Listener] = []
-        for server, address in fronts:
-            listeners.append(Listener(server, 1))
-            sockets.share(listeners[-1:], len(fronts))
-            await listeners[-1].open(address, shared=told.control is not None)
-            stack.push_async_callback(listeners[-1].shutdown, GRACE)
+        if not successor or lifecycle.phase is Phase.STARTING:  # one that is to end already takes nothing over
+            listeners = await open_fronts(core, running, sockets, stack)
         jobs = [job for one in running.values() for job in one.jobs]
         jobs.append(send_clients_away(lifecycle, listeners))
         if told.shared is not None:
             jobs.append(follow_processes(roster, switch, lifecycle, sockets, session, listeners))
         tasks += [asyncio.create_task(job) for job in jobs]
-
-        async def ready() -> None:
-            if at_once and not successor:
-                await watch.heard(FIRST_LIST)
-            lifecycle.advance(Phase.READY)  # says nothing where the end has begun meanwhile
-            roster.tell_ready()
-            roster.tell(in_use())
-
-        tasks.append(asyncio.create_task(ready()))
+        first = watch.heard(FIRST_LIST if at_once and not successor else timedelta())
+        tasks.append(asyncio.create_task(become_ready(first, lifecycle, roster)))
         await lifecycle.reached(Phase.DRAINING)
         lifecycle.succeeded = roster.has_ready_successor()
         await drain(told, broker, listeners, lifecycle)
@@ -220,6 +207,33 @@
     lifecycle.advance(Phase.STOPPED)
 
 
+async def open_fronts(
+    core: Core, running: dict[str, Running], sockets: Sockets, stack: AsyncExitStack
+) -> list[Listener]:
+    """The clients' addresses: the platform's and those of subsystems, until the stack ends."""
+    told = core.told
+    fronts: list[tuple[Server, tuple[str, int]]] = [
+        (Http1Server(core.handlers["platform"], MOST_BODY, MOST_WHOLE), told.listen)]
+    fronts += [front for one in running.values() for front in one.fronts]
+    listeners = []
+    for server, address in fronts:
+        listener = Listener(server, 1)
+        sockets.share([listener], len(fronts))
+        await listener.open(address, shared=told.control is not None)
+        stack.push_async_callback(listener.shutdown, GRACE)
+        listeners.append(listener)
+    return listeners
+
+
+async def become_ready(first: Coroutine[Any, Any, None], lifecycle: Lifecycle, roster: Roster) -> None:
+    """After the first list, where it is waited for; changes nothing where the end has begun meanwhile."""
+    await first
+    lifecycle.advance(Phase.READY)
+    if lifecycle.serving:
+        roster.tell_ready()
+        roster.tell(in_use())
+
+
 async def open_control(address: tuple[str, int], front: ControlFront, stack: AsyncExitStack) -> None:
     """The operators' address: open from the start to the very end, beside all other listeners."""
     listener = Listener(Http1Server(front.handle, CONTROL_BODY), CONTROL_CONNECTIONS)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -216,3 +216,23 @@
             assert (await world.ask("fresh"))[0] == 200 and world.process.returncode is None
 
     play(story())
+
+
+def test_a_new_process_that_is_told_to_end_before_it_is_ready_takes_nothing_over():
+    async def story():
+        async with Controlled(1) as world:
+            world.nodes[0].always = "any"
+            answers, stop = [], asyncio.Event()
+            client = asyncio.create_task(ask_often(world, answers, stop))
+            world.failing = 1_000_000  # the new process waits for a list that does not come
+            successor = await world.upgrade()
+            await until(lambda: "processes of this front" in world.log)
+            await until(lambda: len(answers) > 20)
+            successor.process.terminate()
+            assert await asyncio.wait_for(successor.process.wait(), 10) == 0
+            stop.set()
+            await client
+            assert set(answers) == {200} and "now=ready" not in successor.log
+            await until(lambda: "was=2 now=1" in world.log)
+
+    play(story())
