--- a/ochrespan/data_plane/router_node.py
+++ b/ochrespan/data_plane/router_node.py
@@ -10,6 +10,7 @@
 
 import gevent
 
+from ..observability.registry import Registry
 from ..transport.tcp import Address, parse_address
 from .deadlines import DeadlineHeap
 from .decisions import Server
@@ -19,6 +20,7 @@
 from .ingress import IngressServer
 from .quota_ticket import Quotas
 from .readiness import ReadinessServer
+from .router_figures import RouterFigures
 from .routing_table import RoutingTable
 from .server_pools import ServerPools
 
@@ -29,7 +31,9 @@
 
 KEPT_DESCRIPTORS = 264  # of the limit: files, listening sockets, the feed
 CLIENT_SHARE = 0.5  # of the other descriptors; the rest is for connections to servers
+BODY_SHARE = 0.2  # of the memory, for the bodies of requests
 DRAINING = "draining"
+CLIENT_CHECK_INTERVAL_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,13 +41,32 @@
     """Seconds from SIGTERM."""
 
     serve_on: float  # the platform sends new connections until it has missed the readiness twice
+    refuse: float  # what has not been sent to a server is refused
     give_up: float  # what still runs is broken off
 
     @classmethod
     def within(cls, grace_s: float) -> DrainTimes:
         """Times that leave room to end before the platform kills the process."""
         give_up = grace_s - min(0.7, 0.2 * grace_s)
-        return cls(min(2.5, 0.4 * give_up), give_up)
+        return cls(min(2.5, 0.4 * give_up), 0.9 * give_up, give_up)
+
+
+@dataclass(frozen=True)
+class MachineLimits:
+    """What the machine grants this process."""
+
+    descriptors: int = 1024
+    memory_bytes: int = 256 * 1024 * 1024
+
+    @property
+    def client_connections(self) -> int:
+        """The most connections of clients."""
+        return max(16, int((self.descriptors - KEPT_DESCRIPTORS) * CLIENT_SHARE))
+
+    @property
+    def body_bytes(self) -> int:
+        """The most memory for the bodies of requests."""
+        return int(self.memory_bytes * BODY_SHARE)
 
 
 class RouterNode:
@@ -53,19 +76,29 @@
         self,
         front: Address,
         ready: Address,
-        max_descriptors: int,
+        limits: MachineLimits,
         scheduler: SchedulerLike,
         quotas: Quotas | None = None,
         table_is_fresh: Callable[[], bool] = lambda: True,
     ) -> None:
         deadlines = DeadlineHeap(gevent.get_hub().loop)
-        self._dispatcher = Dispatcher(scheduler, deadlines)
+        registry = Registry()
+        self._dispatcher = Dispatcher(scheduler, deadlines, RouterFigures(registry))
         self._pools = ServerPools(deadlines)
         self._front = Front(ExchangeTools(self._dispatcher, self._pools, deadlines), table_is_fresh, quotas)
-        max_clients = max(16, int((max_descriptors - KEPT_DESCRIPTORS) * CLIENT_SHARE))
-        self.ingress = IngressServer(front, self._front, deadlines, max_clients)
-        self._readiness = ReadinessServer(ready, self.is_ready)
+        self.ingress = IngressServer(front, self._front, deadlines, limits.client_connections, limits.body_bytes)
+        self._readiness = ReadinessServer(ready, self.is_ready, registry)
         self._stopping = False
+        self._version = 0
+        self._add_gauges(registry)
+
+    def _add_gauges(self, registry: Registry) -> None:
+        registry.gauge("ochrespan_router_requests", "Requests that are held.", lambda: self._dispatcher.running)
+        registry.gauge(
+            "ochrespan_router_connections", "Connections of clients.", lambda: self.ingress.open_connections
+        )
+        registry.gauge("ochrespan_router_ready", "Whether new connections are welcome.", self.is_ready)
+        registry.gauge("ochrespan_configuration_version", "The configuration in force.", lambda: self._version)
 
     def start(self) -> None:
         """Begins to listen; requests are refused until there is a table."""
@@ -79,6 +112,7 @@
 
     def table_changed(self, table: FleetTable, change: FleetChange) -> None:
         """Takes over a new table."""
+        self._version = table.version
         if self._front.table is None or change.routes or change.tenants or change.limits:
             self._front.table = RoutingTable(table.configuration)
             log.info("configuration in force version=%d routes=%d", table.version, len(table.configuration.routes))
@@ -95,14 +129,19 @@
         gevent.sleep(times.serve_on)
         self.ingress.drain()
         self.ingress.close()
-        while self.ingress.open_connections and time.monotonic() < started + times.give_up:
-            gevent.sleep(0.05)
+        self._wait_for_clients(started + times.refuse)
+        self._dispatcher.refuse_unsent()
+        self._wait_for_clients(started + times.give_up)
         log.info("stopped requests=%d connections=%d", self._dispatcher.running, self.ingress.open_connections)
         self.ingress.break_off()
         self._pools.close()
         gevent.sleep(0)  # requests that were broken off tell their servers
         self._readiness.close()
 
+    def _wait_for_clients(self, until: float) -> None:
+        while self.ingress.open_connections and time.monotonic() < until:
+            gevent.sleep(CLIENT_CHECK_INTERVAL_S)
+
 
 def list_servers(table: FleetTable) -> list[Server]:
     """All servers of the table as the scheduler knows them."""
