Scheduler in parts: flows, queues and a service's pool; rankings that bear thousands of servers

A stream that is taken up elsewhere counted its second first piece as a miss of its flow, which a test now forbids; a service whose table has not changed is skipped, and rankings mix integers in place of a keyed digest per server.

--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from itertools import count
 from math import exp, inf
+from statistics import mean, stdev
 
 from benchmarks.engine_model import Engine, EngineFigures, Work
 from ochrespan.data_plane.scheduler import Fail, Outcome, Refuse, Request, Scheduler, Send, Server
@@ -279,17 +280,32 @@
     return "\n".join(lines)
 
 
+def worth_of(model: FleetModel) -> float:
+    """The part of the worth owed that was earned, less the price of shared parts that were read again."""
+    owed = sum(result.owed for result in model.results.values())
+    again = sum(engine.counts.read_again for engine in model.engines.values())
+    return (sum(result.earned for result in model.results.values()) - READ_PRICE * again / 1e3) / owed
+
+
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__)
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--routers", type=int, default=9)
     parser.add_argument("--servers", type=int, default=6)
     parser.add_argument("--seconds", type=float, default=40.0)
-    parser.add_argument("--load", type=float, default=1.0)
-    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--load", type=float, nargs="+", default=[1.0], help="multiples of the reference load")
+    parser.add_argument("--seeds", type=int, default=1, help="plays of each load; their mean and its 95 %% interval")
     given = parser.parse_args()
-    model = FleetModel(given.routers, given.servers, given.load, given.seed)
-    model.run(given.seconds)
-    print(report(model))
+    for load in given.load:
+        worths = []
+        for seed in range(given.seeds):
+            model = FleetModel(given.routers, given.servers, load, seed)
+            model.run(given.seconds)
+            worths.append(worth_of(model))
+        if given.seeds == 1:
+            print(report(model))
+            continue
+        half = 1.96 * stdev(worths) / given.seeds**0.5
+        print(f"routers {given.routers} servers {given.servers} load {load:g}: {mean(worths):.4f} +- {half:.4f}")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/ochrespan/data_plane/flows.py
@@ -0,0 +1,75 @@
+"""The flows of one router: a tenant's requests on one route, with what LexAS and ARR keep of them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import inf
+
+from ..policy.arr import KAPPA, ROUND, end_round
+from ..state import Share
+from .decisions import Request
+from .urgency import Ranks
+
+URGENCY = 2.0  # multiple of a flow's weight, and of its first gain, for each step of urgency
+CERTAIN = 4.0  # answers in a round whose mean counts half: a mean over few is noise
+IDLE_FLOW = 30.0  # s, after which an idle flow leaves the table
+
+
+@dataclass(slots=True, eq=False)
+class Flow(Share):
+    """A tenant's requests on one route."""
+
+    weight: float
+    priority: int = 0
+    answers: int = 0  # in this round
+
+    def answered(self, wait: float, aim: float) -> None:
+        """A first piece has come `wait` seconds after its request."""
+        self.over += wait - aim
+        self.answers += 1
+
+
+class FlowTable:
+    """All flows that had requests lately."""
+
+    def __init__(self) -> None:
+        self._flows: dict[tuple[str, str], Flow] = {}
+        self._ranks = Ranks()
+        self._round_at = -inf
+
+    def of(self, now: float, request: Request) -> Flow:
+        """The flow of a request; a new one starts with the gain of its urgency."""
+        flow = self._flows.get((request.tenant, request.route))
+        if flow is None:
+            if self._ranks.note(request.priority):
+                self._reweigh()
+            weight = self._weight(request.priority)
+            flow = Flow(weight=weight, gain=KAPPA * weight, priority=request.priority)
+            self._flows[request.tenant, request.route] = flow
+        flow.used_at = now
+        return flow
+
+    def step(self, request: Request) -> int:
+        """How many steps of urgency a request is below the most urgent."""
+        return self._ranks.step(request.priority)
+
+    def end_round(self, now: float) -> None:
+        """ARR: flows whose mean latency missed their aim gain gamma, and every a resets."""
+        if now < self._round_at:
+            return
+        self._round_at = now + ROUND
+        for key, flow in list(self._flows.items()):
+            end_round(flow, flow.answers / (flow.answers + CERTAIN))
+            flow.answers = 0
+            if now - flow.used_at > IDLE_FLOW:
+                del self._flows[key]
+
+    def _weight(self, priority: int) -> float:
+        return URGENCY ** -self._ranks.step(priority)
+
+    def _reweigh(self) -> None:
+        """The steps of urgency have moved: weights and gains follow."""
+        for flow in self._flows.values():
+            weight = self._weight(flow.priority)
+            flow.gain *= weight / flow.weight
+            flow.weight = weight
--- a/ochrespan/data_plane/placement.py
+++ b/ochrespan/data_plane/placement.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from hashlib import blake2b
+from heapq import nlargest
 
 from .reading_times import ReadingTimes, token_cost
 from .server_state import ServerState
@@ -23,6 +24,7 @@
 HOMES = 3  # servers of a ranking among which a prefix is placed
 RANKED = 4  # servers of a ranking that are kept
 MOST_RANKINGS = 4096  # prefixes whose ranking is kept
+MASK = 2**64 - 1
 
 
 def shared_prefix(prefix: Sequence[tuple[str, int]]) -> str:
@@ -36,23 +38,34 @@
 
     def __init__(self) -> None:
         self._ranked: dict[str, list[ServerState]] = {}
+        self._hashed: list[tuple[int, ServerState]] = []
 
-    def clear(self) -> None:
+    def set_servers(self, servers: Iterable[ServerState]) -> None:
         self._ranked.clear()
+        self._hashed = [(_hash(server.server.id), server) for server in servers]
 
-    def of(self, key: str, servers: Iterable[ServerState]) -> list[ServerState]:
+    def of(self, key: str) -> list[ServerState]:
         ranked = self._ranked.get(key)
         if ranked is None:
             if len(self._ranked) >= MOST_RANKINGS:
                 self._ranked.clear()
-            digest = blake2b(key.encode(), digest_size=16).digest()
-            ranked = sorted(servers, key=lambda server: _score(digest, server.server.id), reverse=True)[:RANKED]
+            mine = _hash(key)
+            scored = ((_mix(mine ^ hashed), place) for place, (hashed, _) in enumerate(self._hashed))
+            ranked = [self._hashed[place][1] for _, place in nlargest(RANKED, scored)]
             self._ranked[key] = ranked
         return ranked
 
 
-def _score(key: bytes, server_id: str) -> bytes:
-    return blake2b(server_id.encode(), key=key, digest_size=8).digest()
+def _hash(text: str) -> int:
+    """The same at every router, whatever its Python's own hashes are."""
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
+def _mix(bits: int) -> int:
+    """Spreads the bits of a key and a server over a score, as splitmix64 does."""
+    bits = ((bits ^ (bits >> 30)) * 0xBF58476D1CE4E5B9) & MASK
+    bits = ((bits ^ (bits >> 27)) * 0x94D049BB133111EB) & MASK
+    return bits ^ (bits >> 31)
 
 
 @dataclass(slots=True)
@@ -81,14 +94,14 @@
 
     def set_servers(self, servers: list[ServerState]) -> None:
         if [server.server.id for server in servers] != [server.server.id for server in self._servers]:
-            self._rankings.clear()
+            self._rankings.set_servers(servers)
         self._servers = servers
 
     def is_kept(self, now: float, server: ServerState, prompt: Prompt) -> bool:
         """Whether the server is taken to have the shared parts of the prompt in memory."""
         if not prompt.shared:
             return True
-        return server.keeps(prompt.key, now) or self._rankings.of(prompt.key, self._servers)[0] is server
+        return server.keeps(prompt.key, now) or self._rankings.of(prompt.key)[0] is server
 
     def best(
         self, now: float, prompt: Prompt, tried: Sequence[str], usable: Callable[[ServerState], bool]
@@ -100,7 +113,7 @@
         """
         if not prompt.shared:
             return self.any(now, prompt, tried, usable)
-        ranked = self._rankings.of(prompt.key, self._servers)
+        ranked = self._rankings.of(prompt.key)
         homes = [server for server in ranked if server.is_healthy(now) and server.server.id not in tried][:HOMES]
         if not homes:
             return self.any(now, prompt, tried, usable)
--- /dev/null
+++ b/ochrespan/data_plane/service_pool.py
@@ -0,0 +1,66 @@
+"""One service at one router: its servers, queues and retry budget, and what the ends of requests tell of servers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .decisions import Outcome, Server
+from .flow_queues import FlowQueues
+from .placement import Placement
+from .retry_budget import RetryBudget
+from .server_health import MOST_EJECTED
+from .server_state import Attempt, ServerState
+
+SILENT = 1.5  # s without a word after which a client that leaves says something about the server
+SAYS_NOTHING = frozenset({Outcome.NOT_SENT, Outcome.TIMED_OUT, Outcome.CANCELLED})  # outcomes without a server's word
+
+
+@dataclass(slots=True, eq=False)
+class Pool:
+    """One service."""
+
+    budget: RetryBudget
+    placement: Placement
+    listed: list[Server] = field(default_factory=list)
+    routers: int = 0
+    servers: dict[str, ServerState] = field(default_factory=dict)
+    usable: list[ServerState] = field(default_factory=list)  # those that are not draining
+    queues: FlowQueues = field(default_factory=FlowQueues)
+
+    def set_servers(self, listed: list[Server], routers: int) -> None:
+        """The whole table of the service; one that has not changed costs no more than looking."""
+        if routers == self.routers and listed == self.listed:
+            return
+        self.listed, self.routers = listed, routers
+        servers: dict[str, ServerState] = {}
+        for server in listed:
+            state = self.servers.get(server.id) or ServerState(server)
+            state.server = server
+            state.set_share(routers)
+            servers[server.id] = state
+        self.servers = servers
+        self.usable = [state for state in servers.values() if not state.server.draining]
+        self.placement.set_servers(self.usable)
+
+    def judge(self, now: float, server: ServerState, outcome: Outcome, attempt: Attempt) -> None:
+        """What the end of an attempt tells of its server."""
+        if outcome not in SAYS_NOTHING:
+            server.heard_at = now
+        if outcome is Outcome.DONE:
+            server.health.succeeded()
+        elif outcome is Outcome.REJECTED_FULL:
+            server.rejected(now)
+        elif self.may_eject(now):
+            server.health.failed(now, outcome, attempt.sent_at)
+
+    def judge_silence(self, now: float, server: ServerState, attempt: Attempt | None) -> None:
+        """A client has left: a server that has said nothing to anyone since it was asked may be gone."""
+        if attempt is None or attempt.answered or server.heard_at >= attempt.sent_at:
+            return
+        if now - attempt.sent_at > SILENT and self.may_eject(now):
+            server.health.failed(now, Outcome.TIMED_OUT, attempt.sent_at)
+
+    def may_eject(self, now: float) -> bool:
+        """The floor: so many servers of a service stay in use, whatever their requests' ends say."""
+        ejected = sum(server.health.is_ejected(now) for server in self.usable)
+        return ejected + 1 <= MOST_EJECTED * len(self.usable)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -142,7 +142,7 @@
             now += 0.05
             tenant = names[running]
             if late:
-                flow = made._flows[tenant, "tag"]
+                flow = made._flows._flows[tenant, "tag"]
                 flow.over, flow.answers = (1.0 if tenant == "late" else -1.0), 8
             served[tenant] += 1
             (send,) = made.ended(now, running, Outcome.DONE)
@@ -156,6 +156,16 @@
     assert abs(counts[0] - 1) < 0.15 and counts[1] > 1.15 * counts[0], counts
 
 
+def test_a_stream_that_is_taken_up_elsewhere_counts_once_for_its_flow():
+    made = scheduler()
+    submit(made, 1, resumable=True, max_servers=2)
+    made.first_event(100.1, "r1", 0.1)
+    made.ended(105.0, "r1", Outcome.LOST)
+    made.first_event(105.1, "r1", 0.1)
+    flow = made._flows._flows["a", "chat"]
+    assert flow.over <= 0 and flow.answers <= 1
+
+
 def test_a_request_whose_server_is_full_does_not_hold_up_those_behind_it():
     made = scheduler(servers=3, capacity=1)
     prefixes = [(("system", 400), (f"subject{number}", 30_000), ("own", 300)) for number in range(40)]
