Membership: a newcomer asks one seed, and compares all it knows soon after its start

With 100 processes that start at once every seed was asked by all for its whole list, and the last member was still unknown to one process after 12 s, since news leaves at 40 items a second.

--- a/ochrespan/coordination/swim.py
+++ b/ochrespan/coordination/swim.py
@@ -23,10 +23,11 @@
 SUSPICION_PERIODS = 3  # shortest suspicion in periods, times the logarithm of the fleet's size
 SUSPICION_STRETCH = 4  # the longest suspicion against the shortest
 WARNED_SUSPECTS = 2
-NEWS_PER_MESSAGE = 8
+NEWS_PER_MESSAGE = 10
 NEWS_PER_SYNC = 10
 CONTACT_INTERVAL_S = 1.0  # between messages to seeds that aren't known, and to the dead, who may be back
 SYNC_INTERVAL_S = 15.0
+FIRST_SYNC_S = 2.5  # after the start of a whole fleet, news alone would take a while to reach all; doubles each time
 LATE_S = 0.3  # a tick this late means that this process was held up: it judges nobody by the time that it missed
 
 
@@ -66,7 +67,8 @@
         self._order: list[Address] = []
         self._period_at = now
         self._contact_at = now
-        self._sync_at = now + SYNC_INTERVAL_S * source.uniform(0.5, 1.0)
+        self._sync_interval = FIRST_SYNC_S
+        self._sync_at = now + FIRST_SYNC_S * source.uniform(0.5, 1.0)
         self._expected_tick = now
 
     @property
@@ -144,7 +146,8 @@
         self._judge_suspects(now)
         self.table.forget_ended(now)
         if now >= self._sync_at:
-            self._sync_at = now + SYNC_INTERVAL_S
+            self._sync_interval = min(SYNC_INTERVAL_S, 2 * self._sync_interval)
+            self._sync_at = now + self._sync_interval * self._random.uniform(0.5, 1.0)
             for address in self._pick_others(1, exclude=None):
                 self._sync_with(address, answer=True)
         self._period_at = now + PERIOD_S * (1 + self.health)
@@ -240,12 +243,18 @@
     # Messages
 
     def _contact(self, now: float) -> None:
-        """Seeds that aren't known alive, and one of the dead: they may be there, or be back."""
+        """Seeds that aren't known alive, and one of the dead: they may be there, or be back.
+
+        One seed is asked for all it knows, the others are only told: the answer grows with the fleet.
+        """
         self._contact_at = now + CONTACT_INTERVAL_S
         records = self.table.records
         unknown = [seed for seed in self._seeds if seed not in records or not records[seed].counts]
         dead = [address for address, record in records.items() if not record.counts and address not in unknown]
-        for address in unknown + self._random.sample(dead, min(1, len(dead))):
+        asked = self._random.sample(unknown, min(1, len(unknown)))
+        for seed in unknown:
+            self._send(seed, Sync(seed in asked, [self.table.own_news()]))
+        for address in self._random.sample(dead, min(1, len(dead))):
             self._send(address, Sync(True, [self.table.own_news()]))
 
     def _sync_with(self, address: Address, answer: bool) -> None:
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -91,6 +91,12 @@
     assert fleet.agreed()
 
 
+def test_a_large_fleet_that_starts_at_once_knows_itself_within_seconds():
+    fleet = Fleet(150, 1)
+    fleet.run(8.0)
+    assert fleet.agreed()
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_a_fifth_of_the_datagrams_lost_ends_nobody(seed):
     fleet = Fleet(12, seed, loss=0.2)
