Planned end: the spare takes the place before the hand-over; behaviours of the core as tests

A leader that ended as planned handed over first, and its successor didn't know the spare until that asked again half a second later, when the process was gone; found by a new test. It makes the spare a voter first now, for at most 0.4 s, and hands over by being out of the group.

--- a/ochrespan/control_plane/replica_host.py
+++ b/ochrespan/control_plane/replica_host.py
@@ -90,7 +90,6 @@
             deadline = time.monotonic() + STOP_S
             while self._leads_anything() and time.monotonic() < deadline:
                 gevent.sleep(TICK_S / 3)
-                self._hand_over_all()
             gevent.sleep(min(LEAVE_S, max(0.0, deadline - time.monotonic())))
         gevent.killall(self._greenlets, block=False)
         if self._disk is not None:
@@ -266,10 +265,3 @@
 
     def _leads_anything(self) -> bool:
         return any(replica.core.role is Role.LEADER for replica in self._table.replicas.values())
-
-    def _hand_over_all(self) -> None:
-        now = time.monotonic()
-        for replica in self._table.replicas.values():
-            if replica.core.role is Role.LEADER and not replica.handing_over:
-                replica.hand_over(now)
-        self._wake.set()
--- a/ochrespan/coordination/group_table.py
+++ b/ochrespan/coordination/group_table.py
@@ -20,6 +20,7 @@
 PROCESS = -1  # in place of a group's number: messages between processes
 LEADER_LOST_S = 0.5  # a replica that isn't a voter asks again when no leader was heard for this long
 LEAVE_INTERVAL_S = 0.1
+LONGEST_EXCHANGE_S = 0.4  # a leader that ends as planned waits no longer for a spare to become a voter
 STEADY_S = 5.0  # a voter heard for this long may be handed the groups that it should lead
 HAND_OVER_INTERVAL_S = 1.0
 
@@ -50,7 +51,7 @@
         self._process_outbox: list[tuple[Address, int, Any]] = []
         self._ask_at = self._balance_at = now
         self._identity_written = known
-        self._leave_at = float("inf")
+        self._leave_at = self._hand_over_at = float("inf")
         smallest = 2 * settings.tolerated + 1
         self.replicas = {
             group: Replica(group, self.id, durable.get(group) or DurableState(), source, self.timing, smallest, now)
@@ -101,18 +102,21 @@
                 replica.core.suspect_leader()
 
     def leave(self, now: float) -> None:
-        """A planned end begins: leaders hand over, and a spare may take this process's places.
+        """A planned end begins: spares take this process's places if there are any, and what it leads is handed over.
 
-        The leaders are told again while the process is still there, since they change by the hand-over.
+        A leader first makes the spare a voter, for its successor doesn't know the spare yet. Other leaders are told
+        again while the process is still there.
         """
         self._leave_at = now + LEAVE_INTERVAL_S
+        self._hand_over_at = min(self._hand_over_at, now + LONGEST_EXCHANGE_S)
         for replica in self.replicas.values():
             leader = replica.leader
             if leader and leader.id != self.id:
                 self._send_process(leader.address, leader.id, Leave())
             elif replica.core.role is Role.LEADER:
                 replica.leave(now, self.id)
-                replica.hand_over(now)
+                if now >= self._hand_over_at or not replica.reconfiguration.spares():
+                    replica.hand_over(now)
 
     def take_envelopes(self) -> list[tuple[Address, Envelope]]:
         envelopes: dict[tuple[Address, int], Envelope] = {}
--- a/ochrespan/coordination/reconfiguration.py
+++ b/ochrespan/coordination/reconfiguration.py
@@ -83,6 +83,12 @@
         for member in configuration.voters:
             self._replication.learners.pop(member.id, None)
 
+    def spares(self) -> tuple[Member, ...]:
+        """Learners that may become voters, the furthest first."""
+        progress = self._replication.progress
+        spares = [member for member in self._replication.learners.values() if self._has_caught_up(member.id)]
+        return tuple(sorted(spares, key=lambda member: -progress[member.id].match))
+
     def _standing(self) -> Standing:
         core, progress = self._core, self._replication.progress
         others = [member for member in core.configuration.voters if member.id in progress]
@@ -90,9 +96,7 @@
         lost.sort(key=lambda member_id: (member_id not in self._replaced, progress[member_id].heard_at))
         if self._is_leaving(core.id):
             lost.append(core.id)
-        spares = [member for member in self._replication.learners.values() if self._has_caught_up(member.id)]
-        spares.sort(key=lambda member: -progress[member.id].match)
-        return Standing(tuple(spares), tuple(lost))
+        return Standing(self.spares(), tuple(lost))
 
     def _is_leaving(self, member_id: int) -> bool:
         return self._core.now < self._leaving.get(member_id, float("-inf"))
--- /dev/null
+++ b/tests/test_core_behaviour.py
@@ -0,0 +1,217 @@
+"""Single behaviours of the core in virtual time: formation, members, hand-over, snapshots, bounds."""
+
+import random
+
+import pytest
+
+from ochrespan.coordination import replica as replica_module
+from ochrespan.coordination import replication
+from ochrespan.coordination.configuration import Configuration, Member
+from ochrespan.coordination.core import DurableState, Timing
+from ochrespan.coordination.formation import AGREEMENT_S, derived_members
+from ochrespan.coordination.log import ReplicaLog
+from ochrespan.coordination.messages import Entry, EntryKind
+from ochrespan.coordination.reconfiguration import Standing, next_voters
+
+from .core_sim.troubles import play
+from .core_sim.world import World, address
+
+MEMBERS = tuple(Member(number, address(number)) for number in range(1, 9))
+
+
+def voters(world: World, shard: int = 0) -> set[int]:
+    """Last part of the address of each voter, as the leader has it."""
+    configuration = world.leader(shard).table.replicas[shard].core.configuration
+    return {int(member.address[0].rsplit(".", 1)[1]) for member in configuration.voters}
+
+
+# Formation
+
+
+def test_every_seed_derives_the_same_members_whatever_the_order_of_its_list():
+    seeds = tuple(map(address, (1, 2, 3)))
+    assert derived_members(seeds) == derived_members(seeds[::-1])
+    assert derived_members(seeds) != derived_members(tuple(map(address, (1, 2, 4))))
+
+
+def test_processes_killed_before_their_first_write_form_the_groups_again():
+    world = World(1)
+    for node in world.nodes.values():
+        node.latency_x = 1e6
+    world.run(0.5)
+    for node in world.nodes.values():
+        node.wipe()
+        node.latency_x = 1.0
+        node.start(world.seeds, bootstrap=False)
+    world.run(AGREEMENT_S - 0.5)
+    assert world.leader(0) is None
+    world.run(3.0)
+    assert voters(world) == {1, 2, 3}
+
+
+def test_empty_replicas_wait_while_a_seed_is_silent():
+    """The silent one may hold all that was acknowledged."""
+    world = World(1)
+    world.run(3.0)
+    world.order(0)
+    world.run(0.5)
+    keeper, *others = world.nodes.values()
+    keeper.lose_power()
+    for node in others:
+        node.wipe()
+        node.start(world.seeds, bootstrap=False)
+    world.run(30.0)
+    assert all(node.table.formation.empty for node in others)
+
+
+def test_an_empty_replica_whose_seeds_are_a_living_group_joins_it_as_a_learner():
+    world = World(1)
+    world.run(3.0)
+    new = world.add(4)
+    new.start(world.seeds, bootstrap=False)
+    world.run(1.0)
+    assert voters(world) == {1, 2, 3}
+    assert world.leader(0).table.replicas[0].replication.learners.keys() == {new.table.id}
+    assert new.table.replicas[0].core.commit_index > 0
+
+
+def test_five_machines_whose_seeds_name_three_become_a_group_of_five():
+    world = World(1, size=5, tolerated=2)
+    world.run(4.0)
+    assert all(voters(world, shard) == {1, 2, 3, 4, 5} for shard in world.shards)
+
+
+# Changes of members
+
+
+@pytest.mark.parametrize(("count", "spares", "lost", "smallest", "expected"), [
+    (3, (), (), 3, None), (3, (), (3,), 3, None), (3, (4,), (), 3, None),
+    (3, (4,), (3,), 3, {1, 2, 4}), (3, (4, 5), (3,), 3, {1, 2, 4}), (3, (4, 5), (), 3, {1, 2, 3, 4, 5}),
+    (4, (), (2,), 3, {1, 3, 4}), (4, (5,), (), 3, {1, 2, 3, 4, 5}), (2, (), (2,), 3, None), (2, (3,), (), 3, {1, 2, 3}),
+    (1, (2,), (), 1, None), (1, (2, 3), (), 1, {1, 2, 3}), (5, (), (4, 5), 5, None), (7, (8,), (), 3, None),
+])
+def test_the_next_voters_of_a_group(count, spares, lost, smallest, expected):
+    configuration = Configuration.of(MEMBERS[:count])
+    standing = Standing(tuple(MEMBERS[spare - 1] for spare in spares), lost)
+    found = next_voters(configuration, standing, smallest)
+    assert (found and {member.id for member in found}) == expected
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_replacement_counts_within_four_seconds_so_that_another_may_go(seed):
+    world = World(seed)
+    world.run(5.0)
+    world.order(0)
+    world.run(0.5)
+    gone = world.leader(0)
+    gone.lose_power()
+    del world.nodes[gone.address]
+    world.run(1.0)
+    world.add(4).start(world.seeds, bootstrap=False)
+    world.run(4.0)
+    second = next(node for node in world.nodes.values() if node.address != address(4))
+    second.lose_power()
+    world.run(3.0)
+    before = len(world.checks.acked[0])
+    world.order(0)
+    world.run(0.5)
+    assert len(world.checks.acked[0]) == before + 1
+
+
+@pytest.mark.parametrize("leader_leaves", [True, False])
+def test_a_spare_takes_the_place_of_a_voter_that_announces_its_end(leader_leaves):
+    world = World(3, size=4)
+    world.run(6.0)
+    spare = ({1, 2, 3, 4} - voters(world)).pop()
+    leader = world.leader(0)
+    leaving = leader if leader_leaves else next(
+        node for node in world.nodes.values() if node is not leader and node.address != address(spare))
+    leaving.table.leave(world.now)
+    leaving.pump()
+    world.run(0.35)
+    assert world.leader(0) is not leaving
+    assert spare in voters(world)
+    assert leaving.address not in {address(number) for number in voters(world)}
+
+
+def test_a_wiped_voter_is_given_up_for_its_new_id_before_its_silence_has_lasted():
+    world = World(2)
+    world.run(5.0)
+    wiped = next(node for node in world.nodes.values() if node is not world.leader(0))
+    old_id = wiped.table.id
+    wiped.wipe()
+    wiped.start(world.seeds, bootstrap=False)
+    world.run(0.8)
+    configuration = world.leader(0).table.replicas[0].core.configuration
+    assert wiped.table.id != old_id
+    assert {member.id for member in configuration.voters} >= {wiped.table.id}
+    assert not configuration.is_voter(old_id)
+
+
+# Leaders
+
+
+def test_leaders_spread_over_the_machines():
+    world = World(1, shards=(0, 1, 2))
+    world.run(15.0)
+    assert len({world.leader(shard).address for shard in world.shards}) == 3
+
+
+def test_a_killed_leader_is_followed_sooner_than_a_silent_one():
+    timing = Timing()
+    silence = timing.election_min_s - timing.heartbeat_s
+    for end, shortest, longest in [("kill", 0.0, 0.45), ("lose_power", silence, 1.4)]:
+        world = World(4)
+        world.run(5.0)
+        getattr(world.leader(0), end)()
+        began = world.now
+        while world.leader(0) is None:
+            world.run(0.005)
+        assert shortest < world.now - began < longest
+
+
+def test_a_leader_whose_disk_hangs_hands_over_and_its_orders_are_kept():
+    world = World(5)
+    world.run(5.0)
+    leader = world.leader(0)
+    leader.hung_until = world.now + 5.0
+    for _ in range(3):
+        world.order(0)
+    world.run(2.2)
+    assert world.leader(0) not in (None, leader)
+    assert len(world.checks.acked[0]) == 3
+    world.run(5.0)
+    assert not leader.table.replicas[0].core.abstaining
+
+
+def test_a_leader_cut_off_from_both_others_gives_up_and_confirms_no_reads():
+    world = World(6)
+    world.run(5.0)
+    leader = world.leader(0)
+    others = [at for at in world.nodes if at != leader.address]
+    world.cuts |= {(leader.address, at) for at in others} | {(at, leader.address) for at in others}
+    assert leader.read(0, object())  # would raise when answered: the token is no read
+    world.run(1.5)
+    assert not leader.table.replicas[0].is_leader
+    assert world.leader(0) is not None
+
+
+# Snapshots and bounds
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_snapshots_in_many_pieces_bear_the_troubles_too(seed, monkeypatch):
+    monkeypatch.setattr(replication, "SNAPSHOT_CHUNK_BYTES", 40)
+    monkeypatch.setattr(replica_module, "KEPT_ENTRIES", 5)
+    play(World(seed, size=4), 15.0)
+
+
+def test_entries_behind_a_snapshot_are_bounded_by_count_and_bytes(monkeypatch):
+    monkeypatch.setattr(replica_module, "KEPT_ENTRIES", 10)
+    monkeypatch.setattr(replica_module, "KEPT_BYTES", 1000)
+    for size, kept in [(10, 10), (300, 3)]:
+        log = ReplicaLog(entries=[Entry(1, EntryKind.COMMAND, bytes(size)) for _ in range(50)])
+        replica = replica_module.Replica(0, 1, DurableState(1, 0, log), random.Random(1), Timing(), 3, 0.0)
+        replica.core.commit_index = replica.core.applied_index = 40
+        replica.compact(b"state")
+        assert (log.first_index, log.last_index) == (41 - kept, 50)
