Quotas: clients that are refused come back no sooner than others wait; tests without time limits

A client told to come back in milliseconds meets others that wait for the same tokens and is refused again, which is priced, so refusals name at least 0.4 s. A property test of instances failed once on the busy machine and passed 5,000 histories afterwards; its failing example was not kept, and the library's default limit of 0.2 s for an example is the likely cause, so it now runs without that limit like the others.

--- a/ochrespan/control_plane/quota_client.py
+++ b/ochrespan/control_plane/quota_client.py
@@ -10,7 +10,7 @@
 
 import logging
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from time import monotonic
 from typing import Any
 
@@ -26,7 +26,8 @@
 
 ANSWER_TIMEOUT_S = 0.3
 SILENT_OWNER_PAUSE_S = 0.1  # where no owner answered, none is asked again for this long
-NO_OWNER_RETRY_S = 0.3
+NO_OWNER_RETRY_S = 0.5
+SHORTEST_RETRY_S = 0.4  # others wait for the same tokens, so a client that comes back at once is refused again
 LONGEST_WAIT_S = 0.12  # for tokens that the owner will have by then
 MOST_ASKED = 3
 AHEAD_S = 0.2  # of a tenant's demand is asked for ahead
@@ -154,14 +155,15 @@
     def _take_by_asking(self, tenant: str, tokens: float) -> Taken:
         """Waits where the owner will have the tokens shortly, since a refusal would cost the client more."""
         taken = self._take_once(tenant, tokens)
-        if not taken.allowed and taken.retry_after_s <= LONGEST_WAIT_S and tenant in self._states:
+        if not taken.allowed and taken.retry_after_s <= LONGEST_WAIT_S:
             self._pause(taken.retry_after_s)
-            if tenant in self._states:
-                return self._take_once(tenant, tokens)
-        return taken
+            taken = self._take_once(tenant, tokens)
+        return taken if taken.allowed else replace(taken, retry_after_s=max(taken.retry_after_s, SHORTEST_RETRY_S))
 
     def _take_once(self, tenant: str, tokens: float) -> Taken:
-        state = self._states[tenant]
+        state = self._states.get(tenant)
+        if state is None:
+            return UNLIMITED  # the limit was lifted meanwhile
         grant = self._ask(tenant, state, tokens, state.demand.wanted_ahead())
         now = self._clock()
         if state.granted.take(tokens, now):
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -1,7 +1,7 @@
 """Instances: incarnations never go back, late reports change nothing, and only a watcher that listened expires."""
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from ochrespan.control_plane import instances
@@ -123,6 +123,7 @@
 
 
 @given(st.lists(_steps, max_size=40), st.integers(0, 40))
+@settings(deadline=None)
 def test_every_history_keeps_one_instance_an_address_and_changes_that_lead_to_the_state(history, cut):
     machine, replica, followed = InstanceMachine(), InstanceMachine(), {}
     drained, gone = set(), set()
