Router's tables follow a change by its own work, and changes that arrive together at once

Now the servers of the changed services are handed on, a new count of routers only sets shares, the routing table shares the hosts and keys that have not changed, and the feed's client tells changes that arrived together at once; one that was not taken is told again with the next. Ruled out: caching the whole list, which still goes through every server at each change. The scheduler's set_servers takes the services concerned as an optional argument, so the stand-in scheduler of the tests takes it too.

--- a/ochrespan/control_plane/feed_client.py
+++ b/ochrespan/control_plane/feed_client.py
@@ -27,6 +27,7 @@
     unpack_instances_change,
 )
 from .fleet_table import (
+    NO_DIFFERENCE,
     FleetChange,
     FleetTable,
     with_configuration_change,
@@ -65,6 +66,7 @@
         self._zone = zone
         self._choice = ControllerChoice(node, zone, seeds)
         self._draft = FleetTable()  # what is known, also before it is good enough to serve by
+        self._untold = NO_DIFFERENCE  # between the table and the draft
         self._offsets: dict[int, int] = {}
         self._lower_since: dict[int, float] = {}  # by shard, since when controllers have had lower offsets
         self._count = RouterCount()
@@ -94,6 +96,7 @@
             except (OSError, ConnectionClosed, MessageError) as error:
                 log.info("feed lost controller=%s error=%r", format_address(address), str(error))
             self.controller = None
+            self._publish_changes()
             self._publish_after_patience()
             gevent.sleep(self._choice.pause(monotonic(), random.random()))
 
@@ -122,6 +125,8 @@
                 self._take_freshness(received, address)
                 if monotonic() - since > SHORTEST_STAY_S and self._choice.is_nearer_than(address, monotonic()):
                     return
+            if not connection.has_message:
+                self._publish_changes()
 
     def _take_delta(self, delta: FeedDelta) -> None:
         offset = self._offsets.get(delta.shard)
@@ -184,13 +189,10 @@
                     raise LeaveController(f"shard {shard} has another log at {format_address(address)}")
 
     def _draft_changed(self, draft: FleetTable, change: FleetChange) -> None:
-        unchanged, self._draft = draft is self._draft, draft
+        self._draft = draft
+        self._untold |= change
         if self._complete_since is None and self._is_complete():
             self._complete_since = monotonic()
-        if unchanged:
-            return
-        if self.table is not None:
-            self._publish(change)
 
     def _is_complete(self) -> bool:
         return self._draft.version > 0 and all(shard in self._offsets for shard in ALL_SHARDS)
@@ -200,14 +202,20 @@
         if self.table is None and since is not None and monotonic() - since > PATIENCE_S:
             self._publish(_everything(self._draft))
 
+    def _publish_changes(self) -> None:
+        """Tells all changes of the messages that arrived together at once."""
+        if self.table is not None and self.table is not self._draft:
+            self._publish(self._untold)
+
     def _publish(self, change: FleetChange) -> None:
-        self.table = self._draft
+        self.table, self._untold = self._draft, NO_DIFFERENCE
         if self.on_change is None:
             return
         try:
             self.on_change(self._draft, change)
         except Exception:
             log.exception("feed change not taken version=%d", self._draft.version)
+            self._untold = change  # to be told again with the next one
 
 
 def _everything(table: FleetTable) -> FleetChange:
--- a/ochrespan/control_plane/fleet_table.py
+++ b/ochrespan/control_plane/fleet_table.py
@@ -34,6 +34,18 @@
     instances: frozenset[str] = frozenset()
     routers: bool = False
 
+    def __or__(self, other: FleetChange) -> FleetChange:
+        """What differs after both."""
+        return FleetChange(
+            version=self.version or other.version,
+            routes=self.routes | other.routes,
+            services=self.services | other.services,
+            tenants=self.tenants | other.tenants,
+            limits=self.limits or other.limits,
+            instances=self.instances | other.instances,
+            routers=self.routers or other.routers,
+        )
+
 
 NO_DIFFERENCE = FleetChange()
 
--- a/ochrespan/data_plane/dispatcher.py
+++ b/ochrespan/data_plane/dispatcher.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Protocol
 
 from .deadlines import Deadline, DeadlineHeap
@@ -15,7 +15,9 @@
 class SchedulerLike(Protocol):
     """What is used of `scheduler.Scheduler`."""
 
-    def set_servers(self, now: float, servers: list[Server], routers: int, rank: int) -> list[Action]: ...
+    def set_servers(
+        self, now: float, servers: list[Server], routers: int, rank: int, services: Collection[str] | None = None
+    ) -> list[Action]: ...
     def submit(self, now: float, request: Request) -> list[Action]: ...
     def cancel(self, now: float, request_id: str) -> list[Action]: ...
     def first_event(self, now: float, request_id: str, latency_s: float) -> None: ...
@@ -45,9 +47,12 @@
         """The number of requests that are known."""
         return len(self._takers)
 
-    def set_servers(self, servers: list[Server], routers: int, rank: int) -> None:
+    def set_servers(
+        self, servers: list[Server], routers: int, rank: int, services: Collection[str] | None = None
+    ) -> None:
+        """All servers of these services, or of every service, and this router's place among the live ones."""
         now = time.monotonic()
-        self._apply(now, self._scheduler.set_servers(now, servers, routers, rank))
+        self._apply(now, self._scheduler.set_servers(now, servers, routers, rank, services))
 
     def submit(self, request: Request, taker: DecisionTaker) -> None:
         self._takers[request.id] = taker
--- a/ochrespan/data_plane/router_node.py
+++ b/ochrespan/data_plane/router_node.py
@@ -79,13 +79,17 @@
 
     def table_changed(self, table: FleetTable, change: FleetChange) -> None:
         """Takes over a new table."""
-        if self._front.table is None or change.routes or change.tenants or change.limits:
+        if self._front.table is None:
             self._front.table = RoutingTable(table.configuration)
+        elif change.routes or change.tenants or change.limits:
+            self._front.table = self._front.table.changed_to(table.configuration, change.routes, change.tenants)
+        if change.version:
             log.info("configuration in force version=%d routes=%d", table.version, len(table.configuration.routes))
-        if change.instances or change.services or change.routers:
-            servers = list_servers(table)
-            self._pools.set_servers(servers, table.router_count)
-            self._dispatcher.set_servers(servers, table.router_count, table.router_rank)
+        services = change.instances | change.services
+        if services or change.routers:
+            servers = [server for name in services for server in servers_of(table, name)]
+            self._pools.set_servers(servers, table.router_count, services)
+            self._dispatcher.set_servers(servers, table.router_count, table.router_rank, services)
 
     def drain(self, times: DrainTimes) -> None:
         """Stops being ready, serves on for a while, lets what runs end, and closes everything in time."""
@@ -104,24 +108,21 @@
         self._readiness.close()
 
 
-def list_servers(table: FleetTable) -> list[Server]:
-    """All servers of the table as the scheduler knows them."""
-    servers = []
-    for name, instances in table.instances.items():
-        service = table.configuration.services.get(name)
-        runtime = service.runtime if service is not None else {}
-        for instance in instances.values():
-            servers.append(
-                Server(
-                    id=instance.id,
-                    service=name,
-                    address=parse_address(instance.address),
-                    zone=instance.zone,
-                    capacity=instance.capacity or runtime.get("capacity") or 1,
-                    kv_tokens=runtime.get("kv_tokens") or 0,
-                    draining=instance.state == DRAINING,
-                    cold_until=instance.cold_until,
-                    max_connections=(service.max_connections if service is not None else 0) or 0,
-                )
-            )
-    return servers
+def servers_of(table: FleetTable, name: str) -> list[Server]:
+    """The servers of a service as the scheduler knows them."""
+    service = table.configuration.services.get(name)
+    runtime = service.runtime if service is not None else {}
+    return [
+        Server(
+            id=instance.id,
+            service=name,
+            address=parse_address(instance.address),
+            zone=instance.zone,
+            capacity=instance.capacity or runtime.get("capacity") or 1,
+            kv_tokens=runtime.get("kv_tokens") or 0,
+            draining=instance.state == DRAINING,
+            cold_until=instance.cold_until,
+            max_connections=(service.max_connections if service is not None else 0) or 0,
+        )
+        for instance in table.instances_of(name).values()
+    ]
--- a/ochrespan/data_plane/routing_table.py
+++ b/ochrespan/data_plane/routing_table.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Iterable
+from collections.abc import Collection
+from copy import copy
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -43,6 +44,16 @@
         self.by_prefix: dict[str, RouteEntry] = {}
         self.longest = 0
 
+    def copy(self) -> _HostRoutes:
+        """The same routes, to be changed apart."""
+        copied = _HostRoutes()
+        copied.by_prefix, copied.longest = dict(self.by_prefix), self.longest
+        return copied
+
+    def remove(self, prefix: str) -> None:
+        self.by_prefix.pop(prefix, None)
+        self.longest = max(map(len, self.by_prefix), default=0)
+
     def add(self, prefix: str, entry: RouteEntry) -> None:
         self.by_prefix[prefix] = entry
         self.longest = max(self.longest, len(prefix))
@@ -60,21 +71,26 @@
     """Answers which route a request takes and which tenant holds a key."""
 
     def __init__(self, configuration: ConfigurationView) -> None:
-        limits = configuration.limits
-        self.version = configuration.version
-        self.limits = ReadLimits(
-            limits.max_header_bytes,
-            limits.max_body_bytes,
-            limits.header_timeout_ms / 1000,
-            limits.idle_timeout_ms / 1000,
-        )
-        self.has_tenants = bool(configuration.tenants)
         self._hosts: dict[str, _HostRoutes] = {}
         self._tenants_by_key: dict[str, Tenant] = {}
-        self._add_routes(configuration.routes.values())
+        self._take_over(configuration)
+        for route in configuration.routes.values():
+            self._hosts.setdefault(route.hostname.lower(), _HostRoutes()).add(route.path_prefix, _entry(route))
         for tenant in configuration.tenants.values():
             self._tenants_by_key.update(dict.fromkeys(tenant.api_keys, tenant))
 
+    def changed_to(
+        self, configuration: ConfigurationView, routes: Collection[str], tenants: Collection[str]
+    ) -> RoutingTable:
+        """The table of another configuration that differs in these routes and tenants; shares what has not changed."""
+        changed = copy(self)
+        if routes:
+            changed._hosts = self._hosts_with(configuration, routes)
+        if tenants:
+            changed._tenants_by_key = self._keys_with(configuration, tenants)
+        changed._take_over(configuration)
+        return changed
+
     def find(self, host: str, path: str) -> RouteEntry | None:
         """The route of the host with the longest prefix of the path. `host` is in lower case and may name a port."""
         routes = self._hosts.get(host) or self._hosts.get(host.partition(":")[0])
@@ -83,10 +99,40 @@
     def tenant_of(self, key: str) -> Tenant | None:
         return self._tenants_by_key.get(key)
 
-    def _add_routes(self, routes: Iterable[Route]) -> None:
-        for route in routes:
-            host = self._hosts.setdefault(route.hostname.lower(), _HostRoutes())
-            host.add(route.path_prefix, _entry(route))
+    def _take_over(self, configuration: ConfigurationView) -> None:
+        limits = configuration.limits
+        self.version = configuration.version
+        self.limits = ReadLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        )
+        self.has_tenants = bool(configuration.tenants)
+        self._configuration = configuration
+
+    def _hosts_with(self, configuration: ConfigurationView, names: Collection[str]) -> dict[str, _HostRoutes]:
+        before = [route for name in names if (route := self._configuration.routes.get(name))]
+        after = [route for name in names if (route := configuration.routes.get(name))]
+        hosts = dict(self._hosts)
+        for hostname in {route.hostname.lower() for route in (*before, *after)}:
+            hosts[hostname] = hosts[hostname].copy() if hostname in hosts else _HostRoutes()
+        for route in before:
+            hosts[route.hostname.lower()].remove(route.path_prefix)
+        for route in after:
+            hosts[route.hostname.lower()].add(route.path_prefix, _entry(route))
+        return {hostname: routes for hostname, routes in hosts.items() if routes.by_prefix}
+
+    def _keys_with(self, configuration: ConfigurationView, names: Collection[str]) -> dict[str, Tenant]:
+        keys = dict(self._tenants_by_key)
+        for name in names:
+            if tenant := self._configuration.tenants.get(name):
+                for key in tenant.api_keys:
+                    keys.pop(key, None)
+        for name in names:
+            if tenant := configuration.tenants.get(name):
+                keys.update(dict.fromkeys(tenant.api_keys, tenant))
+        return keys
 
 
 def _entry(route: Route) -> RouteEntry:
--- a/ochrespan/data_plane/scheduler.py
+++ b/ochrespan/data_plane/scheduler.py
@@ -10,7 +10,7 @@
 import heapq
 import random
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 from itertools import count, islice
 from math import ceil, inf
@@ -102,15 +102,20 @@
 
     # events
 
-    def set_servers(self, now: float, servers: list[Server], routers: int, rank: int) -> list[Action]:
-        """The whole table, each time it has changed; `rank` is this router's place among the live ones."""
-        self._routers = max(1, routers)
-        by_service: dict[str, list[Server]] = {name: [] for name in self._pools}
+    def set_servers(
+        self, now: float, servers: list[Server], routers: int, rank: int, services: Collection[str] | None = None
+    ) -> list[Action]:
+        """All servers of these services, or of every service; `rank` is this router's place among the live ones."""
+        routers = max(1, routers)
+        routers_changed, self._routers = routers != self._routers, routers
+        by_service: dict[str, list[Server]] = {name: [] for name in (self._pools if services is None else services)}
         for server in servers:
             by_service.setdefault(server.service, []).append(server)
         for name, listed in by_service.items():
             self._set_pool(now, self._pool(now, name), listed)
-        for name in by_service:
+        if routers_changed:
+            self._set_shares()
+        for name in self._pools if routers_changed else by_service:
             self._pump(now, self._pools[name])
         return self._take_actions()
 
@@ -228,6 +233,12 @@
         pool.usable = [state for state in servers.values() if not state.server.draining]
         pool.placement.set_servers(pool.usable)
 
+    def _set_shares(self) -> None:
+        """This router's part of every server, after another count of routers."""
+        for pool in self._pools.values():
+            for state in pool.servers.values():
+                state.set_share(self._routers)
+
     def _flow(self, now: float, request: Request) -> Flow:
         flow = self._flows.get((request.tenant, request.route))
         if flow is None:
--- a/ochrespan/data_plane/server_pools.py
+++ b/ochrespan/data_plane/server_pools.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from .connection_pool import ServerPool
 from .deadlines import DeadlineHeap
@@ -16,24 +16,27 @@
 
     def __init__(self, deadlines: DeadlineHeap) -> None:
         self._deadlines = deadlines
+        self._routers = 1
         self._pools: dict[str, ServerPool] = {}
+        self._most: dict[str, int] = {}  # connections that each server accepts from all callers together
+        self._ids: dict[str, set[str]] = {}  # by service
 
-    def set_servers(self, servers: Iterable[Server], routers: int) -> None:
-        """Opens pools for new incarnations and closes those of incarnations that are gone."""
-        fresh: dict[str, ServerPool] = {}
+    def set_servers(self, servers: Iterable[Server], routers: int, services: Collection[str] | None = None) -> None:
+        """All servers of these services, or of every service: opens pools for new incarnations, closes those gone."""
+        if services is None:
+            services = list(self._ids)
+        ids: dict[str, set[str]] = {service: set() for service in services}
+        routers_changed, self._routers = routers != self._routers, routers
         for server in servers:
-            pool = self._pools.pop(server.id, None)
-            if pool is not None and pool.address != server.address:
-                pool.close()
-                pool = None
-            limit = _share(server.max_connections, routers)
-            if pool is None:
-                pool = ServerPool(server.address, limit, self._deadlines)
-            pool.limit = limit
-            fresh[server.id] = pool
-        for gone in self._pools.values():
-            gone.close()
-        self._pools = fresh
+            ids.setdefault(server.service, set()).add(server.id)
+            self._set_server(server)
+        for service, present in ids.items():
+            for gone in self._ids.get(service, set()) - present:
+                self._drop(gone)
+            self._ids[service] = present
+        if routers_changed:
+            for server_id, pool in self._pools.items():
+                pool.limit = _share(self._most[server_id], routers)
 
     def of(self, server_id: str) -> ServerPool | None:
         return self._pools.get(server_id)
@@ -42,6 +45,21 @@
         for pool in self._pools.values():
             pool.close()
 
+    def _set_server(self, server: Server) -> None:
+        pool = self._pools.get(server.id)
+        if pool is not None and pool.address != server.address:
+            pool.close()
+            pool = None
+        limit = _share(server.max_connections, self._routers)
+        if pool is None:
+            pool = self._pools[server.id] = ServerPool(server.address, limit, self._deadlines)
+        pool.limit = limit
+        self._most[server.id] = server.max_connections
+
+    def _drop(self, server_id: str) -> None:
+        self._pools.pop(server_id).close()
+        del self._most[server_id]
+
 
 def _share(max_connections: int, routers: int) -> int:
     """This router's part of the connections that a server accepts from all callers together."""
--- a/ochrespan/transport/tcp.py
+++ b/ochrespan/transport/tcp.py
@@ -98,6 +98,13 @@
                 raise MessageError("frame length", str(size), f"at most {MAX_FRAME_BYTES}")
             return decode(self._read_exactly(size))
 
+    @property
+    def has_message(self) -> bool:
+        """Whether a whole message has arrived that is not received yet."""
+        if len(self._received) < _length.size:
+            return False
+        return len(self._received) >= _length.size + _length.unpack_from(self._received)[0]
+
     def limit_silence(self, seconds: float) -> None:
         """Ends the connection when no byte of a message has arrived, or could be sent, for this long."""
         self._socket.settimeout(seconds)
--- a/tests/fleet_standins.py
+++ b/tests/fleet_standins.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -188,7 +188,9 @@
         self.holds = False
         self.cancel_seen, self.submit_seen = Event(), Event()
 
-    def set_servers(self, now: float, servers: list[Server], routers: int, rank: int) -> list[Any]:
+    def set_servers(
+        self, now: float, servers: list[Server], routers: int, rank: int, services: Collection[str] | None = None
+    ) -> list[Any]:
         self.servers = servers
         return []
 
--- /dev/null
+++ b/tests/test_router_tables.py
@@ -0,0 +1,249 @@
+"""A router's tables follow changes by the work that a change needs, and end up as if made anew."""
+
+from dataclasses import replace
+
+import gevent
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ochrespan.control_plane import feed_client
+from ochrespan.control_plane.configuration import Configuration, change_to
+from ochrespan.control_plane.feed_client import FeedClient
+from ochrespan.control_plane.feed_messages import (
+    FeedDelta,
+    FeedSnapshot,
+    Freshness,
+    pack_configuration_change,
+    pack_instances_change,
+)
+from ochrespan.control_plane.fleet_table import FleetChange, FleetTable, with_instances_change, with_routers
+from ochrespan.control_plane.instances import InstancesChange, record_of
+from ochrespan.control_plane.views import ConfigurationView
+from ochrespan.coordination.shards import ALL_SHARDS, CONFIG_SHARD, shard_of
+from ochrespan.data_plane import routing_table
+from ochrespan.data_plane.deadlines import DeadlineHeap
+from ochrespan.data_plane.decisions import Server
+from ochrespan.data_plane.router_node import RouterNode
+from ochrespan.data_plane.routing_table import RoutingTable
+from ochrespan.data_plane.scheduler import Scheduler
+from ochrespan.data_plane.server_pools import ServerPools
+from ochrespan.transport.tcp import ConnectionClosed
+from tests.control_plane_world import configuration as document
+from tests.control_plane_world import instance
+from tests.fleet_standins import configuration, route, tenant
+
+NOW = 100.0
+SERVICES = ("a", "b", "c")
+ADDRESS = ("127.0.0.1", 7500)
+
+
+def record(number: int, service: str, state: str = "ready"):
+    fields = instance(1, state, backend=service, address=f"10.0.0.{number}:80")
+    return record_of(f"i-{service}-{number}", fields)
+
+
+class RecordingScheduler(Scheduler):
+    """Keeps which servers were handed over."""
+
+    def __init__(self) -> None:
+        super().__init__("z0", 7, retry_ratio=0.2, retry_slack=10.0, retry_window=10.0)
+        self.handed: list[list[str]] = []
+
+    def set_servers(self, now, servers, routers, rank, services=None):
+        self.handed.append(sorted(server.id for server in servers))
+        return super().set_servers(now, servers, routers, rank, services)
+
+    def known(self) -> dict[str, float]:
+        """The cap of each server that can be used."""
+        return {state.server.id: state.cap for pool in self._pools.values() for state in pool.usable}
+
+
+class Tables:
+    """A router's tables with three servers of each of three services."""
+
+    def __init__(self) -> None:
+        self.scheduler = RecordingScheduler()
+        self.node = RouterNode(("127.0.0.1", 0), ("127.0.0.1", 0), 1000, self.scheduler)
+        self.table = FleetTable()
+        self.change(*(record(number, service) for service in SERVICES for number in range(3)))
+
+    def change(self, *upserted, removed=()) -> None:
+        self.table, change = with_instances_change(self.table, InstancesChange(upserted, tuple(removed)), NOW)
+        self.node.table_changed(self.table, change)
+
+    def count(self, routers: int) -> None:
+        self.table, change = with_routers(self.table, routers, 0)
+        self.node.table_changed(self.table, change)
+
+
+def test_a_change_of_a_server_hands_over_the_servers_of_its_service_alone():
+    tables = Tables()
+    tables.change(record(1, "b", "draining"))
+    assert tables.scheduler.handed[-1] == ["i-b-0", "i-b-1", "i-b-2"]
+    assert set(tables.scheduler.known()) == {f"i-{service}-{number}" for service in SERVICES for number in range(3)} - {
+        "i-b-1"
+    }
+    tables.change(removed=["i-c-0", "i-c-1", "i-c-2"])
+    assert tables.scheduler.handed[-1] == []
+    assert not any(name.startswith("i-c") for name in tables.scheduler.known())
+
+
+def test_another_count_of_routers_hands_over_no_servers_and_changes_every_share():
+    tables = Tables()
+    before = tables.scheduler.known()
+    tables.count(8)
+    assert tables.scheduler.handed[-1] == []
+    after = tables.scheduler.known()
+    assert before.keys() == after.keys() and all(after[name] < before[name] for name in before)
+    tables.change(record(1, "a", "draining"))
+    assert {tables.scheduler.known()[name] for name in ("i-a-0", "i-b-0")} == {after["i-b-0"]}
+
+
+def test_pools_of_other_services_stay_and_follow_the_count_of_routers():
+    def servers(service: str, *numbers: int) -> list[Server]:
+        return [
+            Server(f"{service}{number}", service, ("127.0.0.1", 8000 + number), "z", 8, max_connections=40)
+            for number in numbers
+        ]
+
+    pools = ServerPools(DeadlineHeap(gevent.get_hub().loop))
+    pools.set_servers([*servers("a", 1, 2), *servers("b", 1)], 2)
+    kept, gone = pools.of("b1"), pools.of("a2")
+    pools.set_servers(servers("a", 1, 3), 2, {"a"})
+    assert pools.of("b1") is kept and pools.of("a2") is None and gone.closed and not kept.closed
+    pools.set_servers([], 4, ())
+    assert [pools.of(each).limit for each in ("a1", "a3", "b1")] == [10, 10, 10]
+    pools.set_servers(servers("a", 1), 4)
+    assert pools.of("b1") is None and pools.of("a1") is not None
+
+
+def test_a_change_of_a_route_makes_no_entry_anew_but_its_own(monkeypatch):
+    made = []
+    original = routing_table._entry
+    monkeypatch.setattr(routing_table, "_entry", lambda each: made.append(each.name) or original(each))
+    routes = [route(f"r{n}", f"/p{n}/", hostname=f"h{n % 50}.example") for n in range(1000)]
+    before = configuration(*routes, tenants=(tenant("t", "k"),))
+    table = RoutingTable(before)
+    made.clear()
+    changed = replace(routes[7], timeout_ms=1.0)
+    after = replace(before, version=2, routes={**before.routes, "r7": changed})
+    table = table.changed_to(after, {"r7"}, ())
+    assert made == ["r7"] and table.version == 2
+    assert table.find("h7.example", "/p7/x").route is changed
+    assert table.find("h8.example", "/p8/x").route is routes[8]
+
+
+NAMES, HOSTS, PREFIXES, KEYS = "abcd", ("h1", "H2"), ("/", "/x/", "/x/y/"), ("k1", "k2", "k3")
+
+
+@st.composite
+def views(draw, version: int) -> ConfigurationView:
+    """Routes with places of their own, and tenants with keys of their own."""
+    names = draw(st.lists(st.sampled_from(NAMES), unique=True))
+    every_place = [(host, prefix) for host in HOSTS for prefix in PREFIXES]
+    places = draw(st.permutations(every_place))
+    routes = [
+        route(name, prefix, hostname=host, timeout_ms=float(draw(st.integers(1, 2))))
+        for name, (host, prefix) in zip(names, places, strict=False)
+    ]
+    holders = [draw(st.sampled_from(("t1", "t2", None))) for _ in KEYS]
+    keys = {name: [key for key, holder in zip(KEYS, holders, strict=True) if holder == name] for name in ("t1", "t2")}
+    tenants = tuple(tenant(name, *held) for name, held in keys.items() if held)
+    return configuration(*routes, tenants=tenants, version=version)
+
+
+def changed_names(before, after) -> set[str]:
+    return {name for name in {**before, **after} if before.get(name) != after.get(name)}
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.tuples(*(views(version) for version in range(1, 5))))
+def test_a_table_that_followed_changes_answers_like_one_made_anew(steps):
+    table, before = RoutingTable(steps[0]), steps[0]
+    for view in steps[1:]:
+        routes, tenants = changed_names(before.routes, view.routes), changed_names(before.tenants, view.tenants)
+        table, before = table.changed_to(view, routes, tenants), view
+        anew = RoutingTable(view)
+        assert table.version == anew.version and table.has_tenants == anew.has_tenants
+        assert [table.tenant_of(key) for key in KEYS] == [anew.tenant_of(key) for key in KEYS]
+        for host in ("h1", "h2", "h3"):
+            for path in ("/", "/x/1", "/x/y/2", "/z/"):
+                assert table.find(host, path) == anew.find(host, path)
+
+
+class ArrivedTogether:
+    """A connection on which some messages have arrived at once; then it ends."""
+
+    def __init__(self, *messages) -> None:
+        self._messages = list(messages)
+
+    @property
+    def has_message(self) -> bool:
+        return bool(self._messages)
+
+    def receive(self):
+        if not self._messages:
+            raise ConnectionClosed("ended")
+        return self._messages.pop(0)
+
+    def send(self, message) -> None:
+        pass
+
+    def limit_silence(self, seconds: float) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+
+def whole_state():
+    configuration_body = pack_configuration_change(change_to(Configuration(), document(1)))
+    yield FeedSnapshot(CONFIG_SHARD, 1, configuration_body)
+    for shard in ALL_SHARDS:
+        if shard != CONFIG_SHARD:
+            yield FeedSnapshot(shard, 1, pack_instances_change(InstancesChange()))
+    yield Freshness(dict.fromkeys(ALL_SHARDS, 0.0), {}, dict.fromkeys(ALL_SHARDS, 1), [], 0, 0)
+
+
+def deltas(service: str, count: int):
+    for number in range(count):
+        body = pack_instances_change(InstancesChange((record(number, service),)))
+        yield FeedDelta(shard_of(service), number + 1, number + 2, body)
+
+
+@pytest.fixture
+def follow(monkeypatch):
+    """Lets a feed client take the messages of some connections, one after the other, to its end."""
+
+    def take(client: FeedClient, *connections: ArrivedTogether) -> None:
+        for connection in connections:
+            monkeypatch.setattr(feed_client, "dial", lambda address, timeout, given=connection: given)
+            with pytest.raises(ConnectionClosed):
+                client._follow(ADDRESS)
+            client._publish_changes()
+
+    return take
+
+
+def test_changes_that_arrive_together_are_told_at_once(follow):
+    told: list[tuple[FleetTable, FleetChange]] = []
+    client = FeedClient("edge-1", "z", [ADDRESS], lambda table, change: told.append((table, change)))
+    follow(client, ArrivedTogether(*whole_state()), ArrivedTogether(*deltas("a", 200), *deltas("b", 100)))
+    assert len(told) == 2
+    table, change = told[1]
+    assert change.instances == {"a", "b"}
+    assert (len(table.instances_of("a")), len(table.instances_of("b"))) == (200, 100)
+
+
+def test_a_change_that_was_not_taken_is_told_again_with_the_next(follow):
+    told: list[FleetChange] = []
+
+    def take(table: FleetTable, change: FleetChange) -> None:
+        told.append(change)
+        if len(told) == 2:
+            raise RuntimeError("planted")
+
+    client = FeedClient("edge-1", "z", [ADDRESS], take)
+    follow(client, ArrivedTogether(*whole_state()), ArrivedTogether(*deltas("a", 1)), ArrivedTogether(*deltas("b", 1)))
+    assert [change.instances for change in told[1:]] == [{"a"}, {"a", "b"}]
