--- a/benchmarks/hollow/router_process.py
+++ b/benchmarks/hollow/router_process.py
@@ -15,12 +15,10 @@
 
 from ochrespan.control_plane.feed_client import FeedClient
 from ochrespan.control_plane.fleet_table import FleetChange, FleetTable
-from ochrespan.data_plane.router_node import RouterNode
-from ochrespan.data_plane.scheduler import Scheduler
 from ochrespan.transport.tcp import parse_address
 
 from .processes import tell
-from .tables import MAX_DESCRIPTORS
+from .tables import router_node
 
 START_SPREAD_S = 0.3
 
@@ -35,7 +33,7 @@
         self._clients = []
         for number in range(first, first + count):
             zone = f"zone-{number % 13}"
-            take = self._node(zone).table_changed if tables else _ignore
+            take = router_node(zone).table_changed if tables else _ignore
             self._clients.append(FeedClient(f"router-{zone}-{number}", zone, addresses, self._watched(take)))
 
     def start(self) -> None:
@@ -53,10 +51,6 @@
 
         return on_change
 
-    @staticmethod
-    def _node(zone: str) -> RouterNode:
-        return RouterNode(("127.0.0.1", 0), ("127.0.0.1", 0), MAX_DESCRIPTORS, Scheduler(zone, 1, 0.2, 50, 10))
-
 
 def _ignore(table: FleetTable, change: FleetChange) -> None:
     """A router without tables."""
--- a/ochrespan/contracts/parts.py
+++ b/ochrespan/contracts/front_share.py
@@ -25,7 +25,7 @@
 
 
 @dataclass(slots=True)
-class Part:
+class FrontShare:
     """One front's part of one contract's rate, as a multiple of the even part."""
 
     rate: float  # the whole budget
@@ -39,12 +39,15 @@
     _stepped_at: float | None = None
 
     def note_spent(self, units: float) -> None:
+        """This front has served so many units."""
         self._spent_now += units
 
     def note_heard(self, units: float) -> None:
+        """Other fronts have served so many units of the same volumes."""
         self._heard_now += units
 
     def note_refused(self) -> None:
+        """This front had to refuse for want of budget."""
         self._refused = True
 
     def step(self, now: float) -> float | None:
--- a/ochrespan/control_plane/controller_node.py
+++ b/ochrespan/control_plane/controller_node.py
@@ -9,6 +9,7 @@
 import gevent
 
 from ..coordination.shards import ALL_SHARDS, CONFIG_SHARD
+from ..observability.registry import Registry
 from ..transport.rpc import CallServer
 from ..transport.tcp import Address, format_address
 from .api import ControlApi
@@ -70,7 +71,9 @@
         self._instance_owner = InstanceOwner(groups, state.instances, heartbeat_s)
         configuration_owner = ConfigurationOwner(groups, state.configuration)
         self.service = ControlService(groups, configuration_owner, self._instance_owner, state.instances, self._peers)
-        self.api = ControlApi(self.service, self.status, self.is_ready)
+        registry = Registry()
+        self._add_gauges(registry)
+        self.api = ControlApi(self.service, self.status, self.is_ready, registry)
         self._feed = FeedServer(
             groups, state.configuration, state.instances, self._census, self._lag, self._controllers
         )
@@ -78,6 +81,7 @@
             address, zone, groups, self._census, self._lag, self._peers, self._known_addresses
         )
         self._seeds = seeds
+        self._members: frozenset[Address] = frozenset()
         self._quota = QuotaOwner(groups, state.configuration.tenant, quota_bounds)
         self._tasks: list[gevent.Greenlet] = []
         for part in (self.service, self._feed, self._presence, self._quota):
@@ -105,6 +109,11 @@
         self._instance_owner.leadership_changed(shard, is_leader)
         self._quota.leadership_changed(shard, is_leader)
 
+    def members_changed(self, routers: Iterable[str], controllers: Iterable[Address]) -> None:
+        """Membership holds these processes for living."""
+        self._census.members(routers)
+        self._members = frozenset(controllers)
+
     def is_ready(self) -> bool:
         """Whether every shard's group has a majority."""
         return longest({shard: self._groups.quorum_age(shard) for shard in ALL_SHARDS}) <= READY_QUORUM_AGE_S
@@ -123,6 +132,26 @@
             "instances": [record_fields(record) for record in self._state.records()],
         }
 
+    def _add_gauges(self, registry: Registry) -> None:
+        groups, by_shard = self._groups, ("shard",)
+        configuration = self._state.configuration
+        registry.gauge(
+            "ochrespan_configuration_version", "The newest known one.", lambda: configuration.current.version
+        )
+        registry.gauge("ochrespan_instances", "Registered servers.", lambda: len(self._state.records()))
+        registry.gauge("ochrespan_routers", "Living routers.", lambda: len(self._census.routers()))
+        registry.gauge("ochrespan_feed_readers", "Routers that read here.", lambda: len(self._census.readers()))
+        registry.gauges(
+            "ochrespan_shard_leads", "Whether this controller leads it.", by_shard, lambda: _each(groups.is_leader)
+        )
+        registry.gauges(
+            "ochrespan_shard_offset", "Log index that is applied.", by_shard, lambda: _each(groups.applied_index)
+        )
+        registry.gauges(
+            "ochrespan_shard_quorum_age_seconds", "Since a majority was heard of.", by_shard,
+            lambda: _each(groups.quorum_age),
+        )  # fmt: skip
+
     def _shard_status(self, shard: int) -> dict[str, Any]:
         leader = self._groups.leader(shard)
         return {
@@ -134,7 +163,12 @@
         }
 
     def _known_addresses(self) -> set[Address]:
-        return self._groups.voters(CONFIG_SHARD).union(self._seeds())
+        return self._groups.voters(CONFIG_SHARD).union(self._seeds(), self._members)
 
     def _controllers(self) -> list[tuple[Address, str]]:
         return [(self._address, self._zone), *self._census.controllers()]
+
+
+def _each(read: Callable[[int], float]) -> dict[tuple[str, ...], float]:
+    """A figure of every shard, by the shard's number."""
+    return {(str(shard),): read(shard) for shard in ALL_SHARDS}
--- a/tests/test_router_tables.py
+++ b/tests/test_router_tables.py
@@ -24,7 +24,7 @@
 from ochrespan.data_plane import routing_table
 from ochrespan.data_plane.deadlines import DeadlineHeap
 from ochrespan.data_plane.decisions import Server
-from ochrespan.data_plane.router_node import RouterNode
+from ochrespan.data_plane.router_node import MachineLimits, RouterNode
 from ochrespan.data_plane.routing_table import RoutingTable
 from ochrespan.data_plane.scheduler import Scheduler
 from ochrespan.data_plane.server_pools import ServerPools
@@ -64,7 +64,7 @@
 
     def __init__(self) -> None:
         self.scheduler = RecordingScheduler()
-        self.node = RouterNode(("127.0.0.1", 0), ("127.0.0.1", 0), 1000, self.scheduler)
+        self.node = RouterNode(("127.0.0.1", 0), ("127.0.0.1", 0), MachineLimits(), self.scheduler)
         self.table = FleetTable()
         self.change(*(record(number, service) for service in SERVICES for number in range(3)))
 
