--- a/benchmarks/hollow/tables.py
+++ b/benchmarks/hollow/tables.py
@@ -18,23 +18,26 @@
     with_routers,
 )
 from ochrespan.control_plane.instances import InstancesChange
-from ochrespan.data_plane.router_node import RouterNode
+from ochrespan.data_plane.router_node import MachineLimits, RouterNode
 from ochrespan.data_plane.scheduler import Scheduler
 
 from . import documents
 from .meter import bytes_held, microseconds
 from .series import Series
 
-MAX_DESCRIPTORS = 4100
 NOW = 1000.0
 
 
+def router_node(zone: str) -> RouterNode:
+    """A router's node that doesn't listen."""
+    return RouterNode(("127.0.0.1", 0), ("127.0.0.1", 0), MachineLimits(), Scheduler(zone, 1, 0.2, 50, 10))
+
+
 class HollowRouter:
     """A router's table and everything that follows from it, fed with the bodies of feed messages."""
 
     def __init__(self) -> None:
-        scheduler = Scheduler("zone-0", 1, 0.2, 50, 10)
-        self.node = RouterNode(("127.0.0.1", 0), ("127.0.0.1", 0), MAX_DESCRIPTORS, scheduler)
+        self.node = router_node("zone-0")
         self.table = FleetTable()
 
     def take_configuration(self, body: bytes) -> None:
--- a/ochrespan/data_plane/scheduler.py
+++ b/ochrespan/data_plane/scheduler.py
@@ -9,6 +9,7 @@
 
 import heapq
 import random
+from collections.abc import Collection
 from itertools import count
 from math import ceil, inf
 
@@ -51,15 +52,20 @@
 
     # events
 
-    def set_servers(self, now: float, servers: list[Server], routers: int, rank: int) -> list[Action]:
-        """The whole table, each time it has changed; `rank` is this router's place among the live ones."""
-        self._routers = max(1, routers)
-        by_service: dict[str, list[Server]] = {name: [] for name in self._pools}
+    def set_servers(
+        self, now: float, servers: list[Server], routers: int, rank: int, services: Collection[str] | None = None
+    ) -> list[Action]:
+        """All servers of these services, or of every service; `rank` is this router's place among the live ones."""
+        routers = max(1, routers)
+        routers_changed, self._routers = routers != self._routers, routers
+        by_service: dict[str, list[Server]] = {name: [] for name in (self._pools if services is None else services)}
         for server in servers:
             by_service.setdefault(server.service, []).append(server)
         for name, listed in by_service.items():
             self._pool(now, name).set_servers(listed, self._routers)
-        for name in by_service:
+        if routers_changed:
+            self._set_shares()
+        for name in self._pools if routers_changed else by_service:
             self._pump(now, self._pools[name])
         return self._take_actions()
 
@@ -164,6 +170,11 @@
             pool = self._pools[service] = Pool(RetryBudget(*self._retry, now), Placement(self._zone))
         return pool
 
+    def _set_shares(self) -> None:
+        """This router's part of every server, after another count of routers."""
+        for pool in self._pools.values():
+            pool.set_shares(self._routers)
+
     # queues
 
     def _check_at(self, job: Job, at: float) -> None:
--- a/ochrespan/data_plane/service_pool.py
+++ b/ochrespan/data_plane/service_pool.py
@@ -42,6 +42,12 @@
         self.usable = [state for state in servers.values() if not state.server.draining]
         self.placement.set_servers(self.usable)
 
+    def set_shares(self, routers: int) -> None:
+        """This router's part of every server, after another count of routers."""
+        self.routers = routers
+        for state in self.servers.values():
+            state.set_share(routers)
+
     def judge(self, now: float, server: ServerState, outcome: Outcome, attempt: Attempt) -> None:
         """What the end of an attempt tells of its server."""
         if outcome not in SAYS_NOTHING:
