--- a/benchmarks/fleet_front.py
+++ b/benchmarks/fleet_front.py
@@ -189,6 +189,12 @@
         """Processor time used so far."""
         return int(Path(f"/proc/{self._process.pid}/schedstat").read_text().split()[0]) / 1e9
 
+    def kernel_share(self) -> float:
+        """The part of the processor time so far that was spent in the kernel."""
+        fields = Path(f"/proc/{self._process.pid}/stat").read_text().rpartition(")")[2].split()
+        user, system = int(fields[11]), int(fields[12])
+        return system / max(1, user + system)
+
     def stop(self) -> None:
         self._process.stdin.close()
         self._process.wait()
@@ -214,7 +220,7 @@
             short = play(front, f"{STREAM_PATH}1", options.streams, options.at_once)
             long = play(front, f"{STREAM_PATH}{1 + options.events}", options.streams, options.at_once)
             event = (long - short) / options.events
-        return SimpleNamespace(plain=plain, event=event)
+        return SimpleNamespace(plain=plain, event=event, kernel=front.kernel_share())
     finally:
         front.stop()
         engine.stop()
@@ -244,11 +250,12 @@
     parser.add_argument("--fronts", nargs="+", default=FRONTS, choices=FRONTS)
     parser.add_argument("--profile")
     options = parser.parse_args()
-    print(f"{'front':10} {'us a plain request':>20} {'us an event':>14}")
+    print(f"{'front':10} {'us a plain request':>20} {'us an event':>14} {'in the kernel':>15}")
     for name in options.fronts:
         started = time.monotonic()
         found = measure(name, options)
-        print(f"{name:10} {found.plain:20.0f} {found.event:14.1f}   ({time.monotonic() - started:.1f} s)")
+        took = time.monotonic() - started
+        print(f"{name:10} {found.plain:20.0f} {found.event:14.1f} {found.kernel:15.0%}   ({took:.1f} s)")
 
 
 if __name__ == "__main__":
