--- a/ochrespan/control_plane/quota_client.py
+++ b/ochrespan/control_plane/quota_client.py
@@ -10,7 +10,7 @@
 
 import logging
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from time import monotonic
 from typing import Any
 
@@ -26,7 +26,9 @@
 
 ANSWER_TIMEOUT_S = 0.3
 SILENT_OWNER_PAUSE_S = 0.1  # where no owner answered, none is asked again for this long
-NO_OWNER_RETRY_S = 0.3
+NO_OWNER_RETRY_S = 0.5
+SHORTEST_RETRY_S = 0.4  # others wait for the same tokens, so a client that comes back at once is refused again
+LONGEST_WAIT_S = 0.12  # for tokens that the owner will have by then
 MOST_ASKED = 3
 AHEAD_S = 0.2  # of a tenant's demand is asked for ahead
 AHEAD_FROM_REQUESTS_PER_S = 10.0
@@ -97,7 +99,9 @@
         ask_at: Callable[[str], Sequence[Address]],
         call: Callable[[Address, Any, float], Any],
         clock: Callable[[], float] = monotonic,
+        pause: Callable[[float], None] = gevent.sleep,
     ) -> None:
+        self._pause = pause
         self._router = router
         self._bounds = bounds
         self._ask_at = ask_at
@@ -149,7 +153,17 @@
             state.granted.give_back(taken.tokens, taken.epoch)
 
     def _take_by_asking(self, tenant: str, tokens: float) -> Taken:
-        state = self._states[tenant]
+        """Waits where the owner will have the tokens shortly, since a refusal would cost the client more."""
+        taken = self._take_once(tenant, tokens)
+        if not taken.allowed and taken.retry_after_s <= LONGEST_WAIT_S:
+            self._pause(taken.retry_after_s)
+            taken = self._take_once(tenant, tokens)
+        return taken if taken.allowed else replace(taken, retry_after_s=max(taken.retry_after_s, SHORTEST_RETRY_S))
+
+    def _take_once(self, tenant: str, tokens: float) -> Taken:
+        state = self._states.get(tenant)
+        if state is None:
+            return UNLIMITED  # the limit was lifted meanwhile
         grant = self._ask(tenant, state, tokens, state.demand.wanted_ahead())
         now = self._clock()
         if state.granted.take(tokens, now):
--- a/ochrespan/data_plane/dispatcher.py
+++ b/ochrespan/data_plane/dispatcher.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Protocol
 
+from ..observability.registry import Registry
 from .deadlines import Deadline, DeadlineHeap
 from .decisions import Action, Outcome, Request, Server
+from .router_figures import RouterFigures
 
 EARLIEST_TICK_S = 0.001
 
@@ -15,7 +17,9 @@
 class SchedulerLike(Protocol):
     """What is used of `scheduler.Scheduler`."""
 
-    def set_servers(self, now: float, servers: list[Server], routers: int, rank: int) -> list[Action]: ...
+    def set_servers(
+        self, now: float, servers: list[Server], routers: int, rank: int, services: Collection[str] | None = None
+    ) -> list[Action]: ...
     def submit(self, now: float, request: Request) -> list[Action]: ...
     def cancel(self, now: float, request_id: str) -> list[Action]: ...
     def first_event(self, now: float, request_id: str, latency_s: float) -> None: ...
@@ -34,9 +38,12 @@
 class Dispatcher:
     """Owns the scheduler. Each request is known here from `submit` to `close`."""
 
-    def __init__(self, scheduler: SchedulerLike, deadlines: DeadlineHeap) -> None:
+    def __init__(
+        self, scheduler: SchedulerLike, deadlines: DeadlineHeap, figures: RouterFigures | None = None
+    ) -> None:
         self._scheduler = scheduler
         self._deadlines = deadlines
+        self._figures = figures or RouterFigures(Registry())
         self._takers: dict[str, DecisionTaker] = {}
         self._tick: Deadline | None = None
         self._tick_at = float("inf")
@@ -46,9 +53,12 @@
         """The number of requests that are known."""
         return len(self._takers)
 
-    def set_servers(self, servers: list[Server], routers: int, rank: int) -> None:
+    def set_servers(
+        self, servers: list[Server], routers: int, rank: int, services: Collection[str] | None = None
+    ) -> None:
+        """All servers of these services, or of every service, and this router's place among the live ones."""
         now = time.monotonic()
-        self._apply(now, self._scheduler.set_servers(now, servers, routers, rank))
+        self._apply(now, self._scheduler.set_servers(now, servers, routers, rank, services))
 
     def submit(self, request: Request, taker: DecisionTaker) -> None:
         self._takers[request.id] = taker
@@ -59,6 +69,7 @@
         self._scheduler.first_event(time.monotonic(), request_id, latency_s)
 
     def ended(self, request_id: str, outcome: Outcome) -> None:
+        self._figures.ended(outcome)
         now = time.monotonic()
         self._apply(now, self._scheduler.ended(now, request_id, outcome))
 
@@ -79,6 +90,7 @@
 
     def _apply(self, now: float, actions: Iterable[Action]) -> None:
         for action in actions:
+            self._figures.decided(action)
             if taker := self._takers.get(action.request_id):
                 taker.decide(action)
         self._plan_tick(now)
