Placement: the owner of a service deals long prefixes out to servers, once for all routers

A router asks the leader of the service's shard once for each prefix and falls back to the hash after 50 ms.

--- a/ochrespan/control_plane/controller_node.py
+++ b/ochrespan/control_plane/controller_node.py
@@ -16,6 +16,7 @@
 from .control_service import ControlService, Peers
 from .feed_messages import longest
 from .feed_server import FeedServer
+from .home_owner import HomeOwner
 from .instances import InstanceMachine, InstanceRecord, record_fields
 from .lag_watch import LagWatch
 from .orders import ConfigurationMachine
@@ -83,8 +84,9 @@
         self._seeds = seeds
         self._members: frozenset[Address] = frozenset()
         self._quota = QuotaOwner(groups, state.configuration.tenant, quota_bounds)
+        self._homes = HomeOwner(groups, state.instances)
         self._tasks: list[gevent.Greenlet] = []
-        for part in (self.service, self._feed, self._presence, self._quota):
+        for part in (self.service, self._feed, self._presence, self._quota, self._homes):
             part.register(call_server)
 
     def start(self) -> None:
@@ -108,6 +110,7 @@
         """This process began or ceased to lead a shard."""
         self._instance_owner.leadership_changed(shard, is_leader)
         self._quota.leadership_changed(shard, is_leader)
+        self._homes.leadership_changed(shard, is_leader)
 
     def members_changed(self, routers: Iterable[str], controllers: Iterable[Address]) -> None:
         """Membership holds these processes for living."""
--- /dev/null
+++ b/ochrespan/control_plane/home_client.py
@@ -0,0 +1,78 @@
+"""A router's knowledge of where prompts' shared parts are kept: asked of the service's owner once for each prefix."""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+from time import monotonic
+from typing import Any
+
+from ..transport.rpc import CallFailed
+from ..transport.tcp import Address
+from .home_messages import Home, HomeRequest
+from .quota_messages import NotTheOwner
+
+log = logging.getLogger(__name__)
+
+ANSWER_TIMEOUT_S = 0.05  # a request is on its way meanwhile; without an answer it goes by a hash
+SILENT_OWNER_PAUSE_S = 0.5  # where no owner answered, none is asked again for this long
+MOST_KNOWN = 8192  # prefixes; those used longest ago are forgotten
+MOST_ASKED = 3
+
+
+class HomeClient:
+    """`ask_at(service)` names the processes to ask in turn; `is_usable(service, instance)` is the table's word."""
+
+    def __init__(
+        self,
+        ask_at: Callable[[str], Sequence[Address]],
+        call: Callable[[Address, Any, float], Any],
+        is_usable: Callable[[str, str], bool],
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
+        self._ask_at = ask_at
+        self._call = call
+        self._is_usable = is_usable
+        self._clock = clock
+        self._known: OrderedDict[tuple[str, str], str] = OrderedDict()
+        self._silent_until: dict[str, float] = {}
+
+    def home(self, service: str, prefix: str, tokens: float) -> str:
+        """The instance that keeps the prefix, empty where nobody says; may wait for a short time."""
+        key = (service, prefix)
+        known = self._known.get(key, "")
+        if known and self._is_usable(service, known):
+            self._known.move_to_end(key)
+            return known
+        if self._clock() < self._silent_until.get(service, 0.0):
+            return ""
+        found = self._ask(HomeRequest(service, prefix, float(tokens), known))
+        if found is None:
+            self._silent_until[service] = self._clock() + SILENT_OWNER_PAUSE_S
+            return ""
+        if not found or not self._is_usable(service, found):
+            return ""
+        self._known[key] = found
+        while len(self._known) > MOST_KNOWN:
+            self._known.popitem(last=False)
+        return found
+
+    def _ask(self, request: HomeRequest) -> str | None:
+        """The owner's word; None where no owner answered."""
+        addresses, asked = list(self._ask_at(request.service)), set[Address]()
+        while addresses and len(asked) < MOST_ASKED:
+            address = addresses.pop(0)
+            if address in asked:
+                continue
+            asked.add(address)
+            try:
+                reply = self._call(address, request, ANSWER_TIMEOUT_S)
+            except CallFailed as error:
+                log.info("no home service=%s error=%r", request.service, str(error))
+                continue
+            if isinstance(reply, Home):
+                return reply.instance
+            if isinstance(reply, NotTheOwner) and reply.ip:
+                addresses.insert(0, (reply.ip, reply.port))
+        return None
--- /dev/null
+++ b/ochrespan/control_plane/home_messages.py
@@ -0,0 +1,26 @@
+"""The messages between routers and the owners of services about where prompts' shared parts are kept."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..transport.codec import message
+
+
+@message("home.ask")
+@dataclass(slots=True)
+class HomeRequest:
+    """A router meets shared parts of a prompt whose server it does not know, or whose server it cannot use."""
+
+    service: str
+    prefix: str
+    tokens: float
+    unusable: str = ""  # an instance that the router cannot use
+
+
+@message("home.is")
+@dataclass(slots=True)
+class Home:
+    """The instance that keeps the shared parts; empty where the service has none."""
+
+    instance: str
--- a/ochrespan/control_plane/router_quota.py
+++ b/ochrespan/control_plane/router_quota.py
@@ -1,8 +1,8 @@
-"""Joins a router's quota client to its feed, which knows the leaders of the tenants' shards and the live routers."""
+"""Joins a router's clients of owners to its feed, which knows the leaders of the shards and the live routers."""
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from ..coordination.shards import shard_of
@@ -14,15 +14,20 @@
 from .quota_owner import bounds_from
 
 
-def quota_client_for(router: str, figures: Mapping[str, Any], feed: FeedClient, peers: Peers) -> QuotaClient:
-    """The quota client of a router; `figures` are the `bounds` of its settings."""
+def owners_of(feed: FeedClient) -> Callable[[str], list[Address]]:
+    """Who to ask about a tenant or service."""
 
-    def ask_at(tenant: str) -> list[Address]:
+    def ask_at(name: str) -> list[Address]:
         """The owner as the feed last told, then the controller that is followed, which may know of a new one."""
-        known = (feed.leaders.get(shard_of(tenant)), feed.controller)
+        known = (feed.leaders.get(shard_of(name)), feed.controller)
         return [address for address in known if address is not None]
 
-    return QuotaClient(router, bounds_from(figures), ask_at, peers.call)
+    return ask_at
+
+
+def quota_client_for(router: str, figures: Mapping[str, Any], feed: FeedClient, peers: Peers) -> QuotaClient:
+    """The quota client of a router; `figures` are the `bounds` of its settings."""
+    return QuotaClient(router, bounds_from(figures), owners_of(feed), peers.call)
 
 
 def configure_quotas(quotas: QuotaClient, table: FleetTable) -> None:
--- a/ochrespan/data_plane/decisions.py
+++ b/ochrespan/data_plane/decisions.py
@@ -25,6 +25,7 @@
     tokens_out: int = 0
     prefix: tuple[tuple[str, int], ...] = ()  # parts of the prompt in order: id and tokens
     arrived: float = 0.0
+    home: str = ""  # the server that keeps the shared parts, where that is known
 
 
 @dataclass(slots=True)
--- a/ochrespan/data_plane/front.py
+++ b/ochrespan/data_plane/front.py
@@ -7,13 +7,14 @@
 import re
 import time
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from ..control_plane.quota_client import cost_of
 from .client_connection import ClientConnection, ReadLimits
 from .decisions import Request
 from .exchange import Exchange, ExchangeTools
 from .own_answers import OwnAnswer, StartResponse, over_quota
+from .placement import shared_prefix
 from .quota_ticket import Quotas, TicketDesk
 from .request_head import BAD_REQUEST, RequestHead, RequestRefused
 from .routing_table import RouteEntry, RoutingTable
@@ -28,6 +29,7 @@
 DEFAULT_LIMITS = ReadLimits(16 * 1024, 4 * 1024 * 1024, 3.0, 15.0)
 NOT_READY_RETRY_AFTER_S = 1.0
 STALE_RETRY_AFTER_S = 0.5
+LEAST_SHARED_TOKENS = 1000  # of a prompt: shorter ones are soon read anywhere
 ROUTE_RANKS = 1000  # a tenant's priority counts before its route's
 TOKEN_WAIT_AIMS = 1.5  # for so many times its aim a request waits for tokens of its tenant
 TOKEN_WAIT_SHARE = 0.35  # of the request's time, at most
@@ -38,12 +40,25 @@
 _PROMPT_PART = re.compile(r"([0-9A-Fa-f]{1,32}):([0-9]{1,12})")
 
 
+class Homes(Protocol):
+    """What is used of `control_plane.home_client.HomeClient`; the call may wait for a short time."""
+
+    def home(self, service: str, prefix: str, tokens: float) -> str: ...
+
+
 class Front:
     """Serves by the table in force, which is replaced whole. `is_fresh` tells whether the table surely is current."""
 
-    def __init__(self, tools: ExchangeTools, is_fresh: Callable[[], bool], quotas: Quotas | None = None) -> None:
+    def __init__(
+        self,
+        tools: ExchangeTools,
+        is_fresh: Callable[[], bool],
+        quotas: Quotas | None = None,
+        homes: Homes | None = None,
+    ) -> None:
         self._tools = tools
         self._is_fresh = is_fresh
+        self._homes = homes
         self._tickets = TicketDesk(quotas) if quotas is not None else None
         self._numbers = itertools.count(1)
         self.table: RoutingTable | None = None
@@ -85,9 +100,16 @@
             ticket = self._tickets.take(client, tenant.name, cost_of(tenant, usage), _wait_for_tokens_until(request))
             if not ticket.is_valid:
                 return over_quota(request_id, ticket.retry_after_s)
+        self._find_home(request)
         server_request = ServerRequest(head, request_id, body, tenant.name if tenant else None)
         return Exchange(self._tools, client, request, server_request, ticket)
 
+    def _find_home(self, request: Request) -> None:
+        """Names the server that keeps the shared parts of a prompt, where these are worth asking."""
+        shared = sum(tokens for _, tokens in request.prefix[:-1])
+        if self._homes is not None and shared >= LEAST_SHARED_TOKENS:
+            request.home = self._homes.home(request.service, shared_prefix(request.prefix), shared)
+
     def _deny(self, status: int, text: str, request_id: str) -> OwnAnswer:
         """A denial; where the table may be old, the client is told to come back instead."""
         if self._is_fresh():
--- a/ochrespan/data_plane/placement.py
+++ b/ochrespan/data_plane/placement.py
@@ -77,6 +77,7 @@
     own: int  # further tokens
     aim: float
     route: str
+    home: str = ""  # the server that keeps the shared parts, where that is known
 
     def cost(self, kept: bool) -> float:
         """Of reading it, as `token_cost` has it."""
@@ -90,18 +91,20 @@
         self._zone = zone
         self._rankings = Rankings()
         self._servers: list[ServerState] = []
+        self._by_id: dict[str, ServerState] = {}
         self.times = ReadingTimes()
 
     def set_servers(self, servers: list[ServerState]) -> None:
         if [server.server.id for server in servers] != [server.server.id for server in self._servers]:
             self._rankings.set_servers(servers)
         self._servers = servers
+        self._by_id = {server.server.id: server for server in servers}
 
     def is_kept(self, now: float, server: ServerState, prompt: Prompt) -> bool:
         """Whether the server is taken to have the shared parts of the prompt in memory."""
         if not prompt.shared:
             return True
-        return server.keeps(prompt.key, now) or self._rankings.of(prompt.key)[0] is server
+        return server.keeps(prompt.key, now) or self._ranked(prompt)[0] is server
 
     def best(
         self, now: float, prompt: Prompt, tried: Sequence[str], usable: Callable[[ServerState], bool]
@@ -113,13 +116,19 @@
         """
         if not prompt.shared:
             return self.any(now, prompt, tried, usable)
-        ranked = self._rankings.of(prompt.key)
+        ranked = self._ranked(prompt)
         homes = [server for server in ranked if server.is_healthy(now) and server.server.id not in tried][:HOMES]
         if not homes:
             return self.any(now, prompt, tried, usable)
         found = self._least(now, prompt, homes)
         return found if found is not None and usable(found) else None
 
+    def _ranked(self, prompt: Prompt) -> list[ServerState]:
+        """The servers for a prompt in order: the one that is known to keep it, then by the hash."""
+        ranked = self._rankings.of(prompt.key)
+        home = self._by_id.get(prompt.home)
+        return [home, *(server for server in ranked if server is not home)] if home is not None else ranked
+
     def any(
         self, now: float, prompt: Prompt, tried: Sequence[str], usable: Callable[[ServerState], bool]
     ) -> ServerState | None:
--- a/ochrespan/data_plane/router_node.py
+++ b/ochrespan/data_plane/router_node.py
@@ -16,7 +16,7 @@
 from .decisions import Server
 from .dispatcher import Dispatcher, SchedulerLike
 from .exchange import ExchangeTools
-from .front import Front
+from .front import Front, Homes
 from .ingress import IngressServer
 from .quota_ticket import Quotas
 from .readiness import ReadinessServer
@@ -79,13 +79,14 @@
         limits: MachineLimits,
         scheduler: SchedulerLike,
         quotas: Quotas | None = None,
+        homes: Homes | None = None,
         table_is_fresh: Callable[[], bool] = lambda: True,
     ) -> None:
         deadlines = DeadlineHeap(gevent.get_hub().loop)
         registry = Registry()
         self._dispatcher = Dispatcher(scheduler, deadlines, RouterFigures(registry))
         self._pools = ServerPools(deadlines)
-        self._front = Front(ExchangeTools(self._dispatcher, self._pools, deadlines), table_is_fresh, quotas)
+        self._front = Front(ExchangeTools(self._dispatcher, self._pools, deadlines), table_is_fresh, quotas, homes)
         self.ingress = IngressServer(front, self._front, deadlines, limits.client_connections, limits.body_bytes)
         self._readiness = ReadinessServer(ready, self.is_ready, registry)
         self._stopping = False
--- a/ochrespan/data_plane/scheduler.py
+++ b/ochrespan/data_plane/scheduler.py
@@ -70,7 +70,7 @@
         units = max(1.0, (request.tokens_in + ANSWER_COST * request.tokens_out) / TOKENS_PER_UNIT)
         shared = sum(tokens for _, tokens in request.prefix[:-1])
         own = max(0, request.tokens_in - shared)
-        prompt = Prompt(shared_prefix(request.prefix), shared, own, request.aim, request.route)
+        prompt = Prompt(shared_prefix(request.prefix), shared, own, request.aim, request.route, request.home)
         job = Job(request, flow, units, prompt)
         self._jobs[request.id] = job
         pool = self._pool(now, request.service)
@@ -156,6 +156,12 @@
             heapq.heappop(self._checks)
         return self._checks[0][0] if self._checks else inf
 
+    def is_usable(self, service: str, server_id: str) -> bool:
+        """Whether the table has this server for new requests."""
+        pool = self._pools.get(service)
+        state = pool.servers.get(server_id) if pool is not None else None
+        return state is not None and not state.server.draining
+
     # tables
 
     def _pool(self, now: float, service: str) -> Pool:
--- a/ochrespan/programs/router.py
+++ b/ochrespan/programs/router.py
@@ -14,9 +14,10 @@
 from ..control_plane.control_service import Peers
 from ..control_plane.feed_client import FeedClient
 from ..control_plane.fleet_table import FleetChange, FleetTable
+from ..control_plane.home_client import HomeClient
 from ..control_plane.membership import ROUTER_ROLE, MembershipDriver, membership_settings
 from ..control_plane.peer_addresses import seed_peer_addresses
-from ..control_plane.router_quota import configure_quotas, quota_client_for
+from ..control_plane.router_quota import configure_quotas, owners_of, quota_client_for
 from ..data_plane.router_node import DrainTimes, MachineLimits, RouterNode
 from ..data_plane.scheduler import Scheduler
 from ..observability import logs
@@ -59,13 +60,16 @@
             settings["node"], settings["zone"], seed_peer_addresses(settings), self._table_changed
         )
         self._membership = MembershipDriver(membership_settings(settings, ROUTER_ROLE), self._members_changed)
-        self._quotas = quota_client_for(settings["node"], settings.get("bounds", {}), self._feed, Peers())
+        peers = Peers()
+        self._quotas = quota_client_for(settings["node"], settings.get("bounds", {}), self._feed, peers)
+        homes = HomeClient(owners_of(self._feed), peers.call, scheduler.is_usable)
         self._node = RouterNode(
             listen_address(settings, "front"),
             listen_address(settings, "ready"),
             granted,
             scheduler,
             self._quotas,
+            homes,
             table_is_fresh=lambda: self._feed.controller is not None,
         )
 
