--- a/ochrespan/control_plane/home_owner.py
+++ b/ochrespan/control_plane/home_owner.py
@@ -1,56 +1,46 @@
 """Where the shared parts of prompts are kept: decided by the owner of the service's shard, once for all routers.
 
 A hash would do without a word between processes, but a few dozen long prefixes fall unevenly on a few servers. The
-owner deals them out by their tokens. What it remembers is soft: a new owner begins anew, routers that know a prefix's
-server go on with it, and a prefix that is read at two servers costs time, nothing else.
+owner deals them out by their tokens, answers at once, and has the placements replicated in batches behind that.
 """
 
 from __future__ import annotations
 
-from collections import OrderedDict
-from collections.abc import Mapping
-from dataclasses import dataclass, field
+import logging
+from collections.abc import Callable, Mapping
+
+import gevent
 
 from ..coordination.shards import shard_of
+from ..transport.codec import encode
 from ..transport.rpc import CallServer
 from .home_messages import Home, HomeRequest
 from .instances import InstanceMachine, InstanceState
 from .owners import ReplicaGroups
+from .prefix_homes import AssignHomes, PrefixHomes
 from .quota_messages import NotTheOwner
+from .replica_types import NotLeader, NoVerdict
 
-MOST_PREFIXES = 8192  # of one service; those asked for longest ago are forgotten
-
-
-@dataclass(slots=True)
-class _Homes:
-    """The prefixes of one service."""
-
-    known: OrderedDict[str, tuple[str, float]] = field(default_factory=OrderedDict)  # instance and tokens
-    tokens: dict[str, float] = field(default_factory=dict)  # by instance
-
-    def put(self, prefix: str, instance: str, tokens: float) -> None:
-        self.drop(prefix)
-        self.known[prefix] = (instance, tokens)
-        self.tokens[instance] = self.tokens.get(instance, 0.0) + tokens
-        while len(self.known) > MOST_PREFIXES:
-            self.drop(next(iter(self.known)))
-
-    def drop(self, prefix: str) -> None:
-        instance, tokens = self.known.pop(prefix, ("", 0.0))
-        if instance in self.tokens:
-            self.tokens[instance] -= tokens
+log = logging.getLogger(__name__)
 
-    def keep_only(self, instances: list[str]) -> None:
-        self.tokens = {name: self.tokens.get(name, 0.0) for name in instances}
+BATCH_S = 0.1  # placements are gathered for so long
+REPLICATION_TIMEOUT_S = 3.0
 
 
 class HomeOwner:
     """Answers routers for the services whose shards this process leads."""
 
-    def __init__(self, groups: ReplicaGroups, instances: Mapping[int, InstanceMachine]) -> None:
+    def __init__(
+        self,
+        groups: ReplicaGroups,
+        instances: Mapping[int, InstanceMachine],
+        later: Callable[..., object] = lambda call, *given: gevent.spawn_later(BATCH_S, call, *given),
+    ) -> None:
         self._groups = groups
         self._instances = instances
-        self._services: dict[str, _Homes] = {}
+        self._later = later
+        self._fresh: dict[str, PrefixHomes] = {}  # by service: placements that may not be replicated yet
+        self._batches: dict[str, list[tuple[str, str, float]]] = {}
 
     def register(self, call_server: CallServer) -> None:
         """Answers routers."""
@@ -58,29 +48,48 @@
 
     def leadership_changed(self, shard: int, is_leader: bool) -> None:
         """To be called when this process begins or ceases to lead a shard."""
-        for service in [each for each in self._services if shard_of(each) == shard]:
-            del self._services[service]
+        for service in [each for each in self._fresh if shard_of(each) == shard]:
+            del self._fresh[service]
+            self._batches.pop(service, None)
 
     def home(self, request: HomeRequest) -> Home | NotTheOwner:
         """The instance that keeps the prefix: a known one, or the one with the fewest tokens so far."""
-        shard = shard_of(request.service)
+        shard, service = shard_of(request.service), request.service
         if not self._groups.is_leader(shard):
             leader = self._groups.leader(shard)
             return NotTheOwner(*leader) if leader is not None else NotTheOwner()
-        ready = self._ready(shard, request.service)
-        homes = self._services.setdefault(request.service, _Homes())
-        instance, _ = homes.known.get(request.prefix, ("", 0.0))
-        if instance in ready and instance != request.unusable:
-            homes.known.move_to_end(request.prefix)
-            return Home(instance)
-        candidates = [name for name in ready if name != request.unusable]
-        if not candidates:
+        machine = self._instances[shard]
+        fresh = self._fresh.setdefault(service, PrefixHomes())
+        known = fresh.of(service, request.prefix) or machine.homes.of(service, request.prefix)
+        ready = [
+            record.id
+            for record in machine.records.values()
+            if record.backend == service and record.state == InstanceState.READY and record.id != request.unusable
+        ]
+        if known in ready:
+            return Home(known)
+        if not ready:
             return Home("")
-        homes.keep_only(ready)
-        instance = min(candidates, key=lambda name: (homes.tokens[name], name))
-        homes.put(request.prefix, instance, request.tokens)
+        instance = min(ready, key=lambda name: (machine.homes.tokens(name) + fresh.tokens(name), name))
+        self._place(service, (request.prefix, instance, request.tokens))
         return Home(instance)
 
-    def _ready(self, shard: int, service: str) -> list[str]:
-        records = self._instances[shard].records.values()
-        return [each.id for each in records if each.backend == service and each.state == InstanceState.READY]
+    def _place(self, service: str, entry: tuple[str, str, float]) -> None:
+        self._fresh[service].assign(AssignHomes(service, [entry]))
+        if service not in self._batches:
+            self._batches[service] = []
+            self._later(self._replicate, service)
+        self._batches[service].append(entry)
+
+    def _replicate(self, service: str) -> None:
+        """Has the placements of the last moments replicated; those that fail are known here alone."""
+        entries = self._batches.pop(service, [])
+        if not entries:
+            return
+        try:
+            self._groups.propose(shard_of(service), encode(AssignHomes(service, entries)), REPLICATION_TIMEOUT_S)
+        except (NotLeader, NoVerdict) as error:
+            log.info("placements not replicated service=%s count=%d error=%r", service, len(entries), str(error))
+            return
+        if (fresh := self._fresh.get(service)) is not None:
+            fresh.forget(service, [prefix for prefix, _, _ in entries])
--- a/ochrespan/control_plane/instances.py
+++ b/ochrespan/control_plane/instances.py
@@ -13,6 +13,7 @@
 
 from ..transport.codec import MessageError, decode, message
 from . import compact
+from .prefix_homes import AssignHomes, PrefixHomes
 
 REMEMBERED_GONE = 8192
 
@@ -140,6 +141,7 @@
         self.records: dict[str, InstanceRecord] = {}
         self._ids_by_address: dict[str, str] = {}
         self._departed = _Departed()
+        self.homes = PrefixHomes()
 
     def apply(self, index: int, command: bytes) -> InstancesChange:
         """What the command changed; nothing for one that comes too late."""
@@ -153,6 +155,8 @@
             return self._remove(decoded.id)
         if isinstance(decoded, ExpireInstances):
             return self._expire(decoded.sequences)
+        if isinstance(decoded, AssignHomes):
+            self.homes.assign(decoded)
         return NO_CHANGE
 
     def accepts(self, record: InstanceRecord) -> bool:
@@ -167,15 +171,16 @@
 
     def snapshot(self) -> bytes:
         """The whole state, compressed."""
-        state = [[record_fields(record) for record in self.records.values()], self._departed.entries]
-        return compact.pack(state)
+        records = [record_fields(record) for record in self.records.values()]
+        return compact.pack([records, self._departed.entries, self.homes.fields()])
 
     def restore(self, data: bytes) -> None:
         """Takes over the state of a snapshot."""
-        records, departed = compact.unpack(data)
+        records, departed, *homes = compact.unpack(data)  # snapshots of earlier versions lack the homes
         self.records = {fields["id"]: record_from_fields(fields) for fields in records}
         self._ids_by_address = {record.address: record.id for record in self.records.values()}
         self._departed = _Departed(departed)
+        self.homes = PrefixHomes(homes[0] if homes else None)
 
     def _register(self, record: InstanceRecord) -> InstancesChange:
         if not self.accepts(record):
--- /dev/null
+++ b/tests/test_homes.py
@@ -0,0 +1,179 @@
+"""Where prompts' shared parts are kept: dealt out by the owner, replicated, and known at the routers."""
+
+from __future__ import annotations
+
+import pytest
+
+from ochrespan.control_plane import compact
+from ochrespan.control_plane.home_client import SILENT_OWNER_PAUSE_S, HomeClient
+from ochrespan.control_plane.home_messages import Home, HomeRequest
+from ochrespan.control_plane.home_owner import HomeOwner
+from ochrespan.control_plane.instances import InstanceMachine, RegisterInstance, record_fields, record_of
+from ochrespan.control_plane.prefix_homes import MOST_PREFIXES, AssignHomes, PrefixHomes
+from ochrespan.control_plane.quota_messages import NotTheOwner
+from ochrespan.control_plane.replica_types import NoVerdict
+from ochrespan.coordination.shards import shard_of
+from ochrespan.transport.codec import encode
+from ochrespan.transport.rpc import CallFailed
+
+OWNER, OTHER = ("10.0.0.1", 7500), ("10.0.0.2", 7500)
+SHARD = shard_of("llm")
+
+
+class Groups:
+    """Commits at once, unless told otherwise."""
+
+    def __init__(self, machine: InstanceMachine) -> None:
+        self.machine, self.leads, self.commits, self.index = machine, True, True, 0
+
+    def is_leader(self, shard: int) -> bool:
+        return self.leads
+
+    def leader(self, shard: int):
+        return OTHER
+
+    def propose(self, shard: int, command: bytes, timeout: float):
+        if not self.commits:
+            raise NoVerdict("not committed in time")
+        self.index += 1
+        return self.machine.apply(self.index, command)
+
+
+class Owner:
+    """An owner whose batches are replicated when the test says so."""
+
+    def __init__(self, servers: int = 3, machine: InstanceMachine | None = None) -> None:
+        self.machine = machine or InstanceMachine()
+        self.groups = Groups(self.machine)
+        self.batches: list = []
+        self.owner = HomeOwner(
+            self.groups, {SHARD: self.machine}, lambda call, *given: self.batches.append((call, given))
+        )
+        for number in range(servers):
+            self.register(number)
+
+    def register(self, number: int, state: str = "ready", sequence: int = 1) -> None:
+        document = {
+            "backend": "llm", "address": f"10.1.0.{number}:80", "state": state, "sequence": sequence, "zone": "a",
+            "generation": "v1", "capacity": 8, "cold_remaining_ms": 0,
+        }  # fmt: skip
+        self.machine.apply(0, encode(RegisterInstance(record_fields(record_of(f"i{number}", document)))))
+
+    def ask(self, prefix: str, tokens: float = 1000.0, unusable: str = "") -> str:
+        return self.owner.home(HomeRequest("llm", prefix, tokens, unusable)).instance
+
+    def replicate(self) -> None:
+        while self.batches:
+            call, given = self.batches.pop(0)
+            call(*given)
+
+
+def test_prefixes_are_dealt_out_evenly_by_their_tokens():
+    made = Owner()
+    tokens: dict[str, float] = {}
+    for number in range(60):
+        size = 500.0 + 700 * (number % 9)
+        home = made.ask(f"p{number}", size)
+        tokens[home] = tokens.get(home, 0.0) + size
+        if number % 7 == 0:
+            made.replicate()
+    assert max(tokens.values()) - min(tokens.values()) <= 500 + 700 * 8
+
+
+@pytest.mark.parametrize("replicated", [False, True])
+def test_all_routers_are_told_the_same_server(replicated):
+    made = Owner()
+    first = made.ask("p")
+    if replicated:
+        made.replicate()
+    assert {made.ask("p") for _ in range(5)} == {first}
+
+
+def test_a_server_that_goes_or_drains_or_cannot_be_used_loses_its_prefixes_and_no_other_does():
+    made = Owner()
+    homes = {f"p{number}": made.ask(f"p{number}") for number in range(9)}
+    made.replicate()
+    made.register(1, "draining", 2)
+    after = {prefix: made.ask(prefix) for prefix in homes}
+    assert all(after[prefix] == home for prefix, home in homes.items() if home != "i1")
+    assert "i1" not in after.values()
+    assert made.ask("p0", unusable=after["p0"]) != after["p0"]
+    assert Owner(servers=0).ask("p") == ""
+
+
+def test_replicated_placements_outlive_all_controllers():
+    made = Owner()
+    homes = {f"p{number}": made.ask(f"p{number}") for number in range(9)}
+    made.replicate()
+    restored = InstanceMachine()
+    restored.restore(made.machine.snapshot())
+    again = Owner(servers=0, machine=restored)
+    assert {prefix: again.ask(prefix) for prefix in homes} == homes
+
+
+def test_a_snapshot_of_an_earlier_version_is_taken_over():
+    made = Owner()
+    records, departed, _ = compact.unpack(made.machine.snapshot())
+    restored = InstanceMachine()
+    restored.restore(compact.pack([records, departed]))
+    assert Owner(servers=0, machine=restored).ask("p") in made.machine.records
+
+
+def test_placements_that_are_not_committed_hold_while_the_owner_leads():
+    made = Owner()
+    made.groups.commits = False
+    homes = {f"p{number}": made.ask(f"p{number}") for number in range(5)}
+    made.replicate()
+    assert {prefix: made.ask(prefix) for prefix in homes} == homes
+    made.owner.leadership_changed(SHARD, False)
+    made.groups.leads = False
+    assert made.owner.home(HomeRequest("llm", "p0", 1.0)) == NotTheOwner(*OTHER)
+
+
+def test_what_is_kept_is_bounded():
+    homes = PrefixHomes()
+    for number in range(MOST_PREFIXES + 50):
+        homes.assign(AssignHomes("llm", [(f"p{number}", f"i{number % 3}", 10.0)]))
+    assert len(homes.fields()["llm"]) == MOST_PREFIXES and homes.of("llm", "p0") == ""
+    assert sum(homes.tokens(f"i{number}") for number in range(3)) == 10.0 * MOST_PREFIXES
+    assert PrefixHomes(homes.fields()).fields() == homes.fields()
+
+
+class Calls:
+    """What a client asks, answered by script."""
+
+    def __init__(self, *replies) -> None:
+        self.replies, self.asked, self.now, self.usable = list(replies), [], 100.0, {"i1", "i2"}
+        self.client = HomeClient(
+            lambda service: [OWNER], self.call, lambda service, instance: instance in self.usable, lambda: self.now
+        )
+
+    def call(self, address, request, timeout):
+        self.asked.append((address, request.unusable))
+        reply = self.replies.pop(0)
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+
+def test_a_router_asks_once_for_a_prefix_and_anew_when_its_server_is_gone():
+    made = Calls(Home("i1"), Home("i2"))
+    assert [made.client.home("llm", "p", 1000) for _ in range(3)] == ["i1"] * 3
+    made.usable.discard("i1")
+    assert made.client.home("llm", "p", 1000) == "i2"
+    assert made.asked == [(OWNER, ""), (OWNER, "i1")]
+
+
+def test_a_router_follows_to_the_owner_and_does_without_one_for_a_while():
+    made = Calls(NotTheOwner(*OTHER), Home("i1"), CallFailed("no"), Home("i2"))
+    assert made.client.home("llm", "p", 1000) == "i1"
+    assert [address for address, _ in made.asked] == [OWNER, OTHER]
+    assert made.client.home("llm", "q", 1000) == "" and made.client.home("llm", "q", 1000) == ""
+    assert len(made.asked) == 3
+    made.now += SILENT_OWNER_PAUSE_S
+    assert made.client.home("llm", "q", 1000) == "i2"
+
+
+def test_a_server_that_the_router_does_not_know_is_not_taken():
+    made = Calls(Home("i9"))
+    assert made.client.home("llm", "p", 1000) == ""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -136,3 +136,12 @@
         priorities[step] = [server_priority(step, cost) for cost in (0, 900, 1100, 5000, 20_000, 1e6)]
         assert priorities[step] == sorted(priorities[step])
     assert priorities[0][0] == 0 and 0 <= max(priorities[2]) <= 9
+
+
+def test_a_known_home_goes_before_the_hash_and_the_hash_stands_in_where_it_cannot_be_used():
+    by_hash = homes(scheduler(servers=6), 1)[0]
+    other = next(f"i{number}" for number in range(6) if f"i{number}" != by_hash)
+    made = scheduler(servers=6)
+    assert made.is_usable("llm", other) and not made.is_usable("llm", "i9") and not made.is_usable("none", other)
+    assert sent_to(submit(made, 1, home=other, **subject(0))) == [other]
+    assert sent_to(submit(made, 2, now=101.0, home="gone", **subject(0))) == [by_hash]
