Quotas: a request that was refused unsent gives its tokens back

Requests refused in the router's queue kept their tenant's tokens until the bucket refilled, so a tenant within its quota could get 429 behind them. The tokens are released where no byte towards a server was begun; the new test fails without it. Requests that a server rejected keep theirs: whether bytes arrived is the server's word, and the bound comes first.

--- a/ochrespan/data_plane/exchange.py
+++ b/ochrespan/data_plane/exchange.py
@@ -60,6 +60,7 @@
         self._decision: Action | None = None
         self._expired = False
         self._was_sent = False
+        self._sending_began = False
         self._attempt: Attempt | None = None  # the one that runs
         self._events = EventStream()
         self._ready = b""  # whole events that are to be passed on
@@ -155,6 +156,7 @@
         self._events.take_up()
         self._break = None
         answer = ServerAnswer(self._server_request.method, self._server_request.request_id)
+        self._sending_began = True
         attempt.send(message, answer, self._unsafe)
         self._was_sent = True
 
@@ -265,6 +267,8 @@
         if self._attempt is not None:
             self._attempt.abandon()
             self._attempt = None
+        if self._ticket is not None and not self._sending_began:
+            self._ticket.release()
         self._dispatcher.close(self._request.id)
 
 
--- a/ochrespan/data_plane/quota_ticket.py
+++ b/ochrespan/data_plane/quota_ticket.py
@@ -14,10 +14,11 @@
 
 
 class Quotas(Protocol):
-    """What is used of `control_plane.quota_client.QuotaClient`; both calls may wait for a short time."""
+    """What is used of `control_plane.quota_client.QuotaClient`; `take` and `renew` may wait for a short time."""
 
     def take(self, tenant: str, tokens: float) -> Taken: ...
     def renew(self, tenant: str, taken: Taken) -> Taken: ...
+    def release(self, tenant: str, taken: Taken) -> None: ...
 
 
 class QuotaTicket:
@@ -45,6 +46,11 @@
         self._taken = self._quotas.renew(self._tenant, self._taken)
         return self._taken.allowed
 
+    def release(self) -> None:
+        """Gives the tokens back: the request was not sent and will not be."""
+        if self._taken.allowed:
+            self._quotas.release(self._tenant, self._taken)
+
 
 class TicketDesk:
     """Gives tickets; where a tenant is short of tokens for a moment, its requests wait in place of coming back.
--- a/tests/test_router_quotas.py
+++ b/tests/test_router_quotas.py
@@ -19,6 +19,7 @@
     def __init__(self, takes: list[Taken], renewals: list[Taken] | None = None) -> None:
         self.takes, self.renewals = takes, renewals or [UNLIMITED]
         self.taken: list[tuple[str, float]] = []
+        self.released: list[tuple[str, Taken]] = []
 
     def take(self, name: str, tokens: float) -> Taken:
         self.taken.append((name, tokens))
@@ -27,6 +28,9 @@
     def renew(self, name: str, taken: Taken) -> Taken:
         return self.renewals.pop(0) if len(self.renewals) > 1 else self.renewals[0]
 
+    def release(self, name: str, taken: Taken) -> None:
+        self.released.append((name, taken))
+
 
 def limited(unit: QuotaUnit = QuotaUnit.TOKENS):
     return replace(tenant("acme", "key"), unit=unit, plain_tokens=200.0, rate_per_s=1000.0)
@@ -120,3 +124,21 @@
         client = made.client()
         client.ask(headers=USAGE)
         assert client.read_answer().whole
+
+
+def test_tokens_of_a_request_that_was_refused_unsent_are_released_and_those_of_a_sent_one_are_not():
+    quotas = ScriptedQuotas([UNLIMITED])
+    with router(quotas=quotas) as made:
+        made.use(configuration(route(), tenants=(limited(),)))
+        client = made.client()
+        client.ask(headers=USAGE, id="unsent")
+        with gevent.Timeout(5):
+            while not made.scheduler.submitted:
+                gevent.idle()
+        made.dispatcher.refuse_unsent()
+        assert client.read_answer().status == 503
+        assert quotas.released == [("acme", UNLIMITED)]
+        made.use(configuration(route(), tenants=(limited(),)), StandInServer(answer()))
+        client.ask(headers=USAGE, id="sent")
+        assert client.read_answer().status == 200
+    assert len(quotas.released) == 1
