--- a/ochrespan/broker.py
+++ b/ochrespan/broker.py
@@ -15,8 +15,9 @@
 from itertools import count
 
 from . import interface as api
+from .figures import ClassTotals
 from .logs import unbound
-from .policy.front import NEVER_RAN, Scheduler
+from .policy.front import FAILS, NEVER_RAN, Scheduler
 from .requests import (
     Attempt,
     Counts,
@@ -53,6 +54,7 @@
     out: Attempt | None = None
     step: asyncio.Future[Attempt | Refused | Failed] | None = None
     final: Refused | Failed | None = None
+    passing_on: bool = False  # its answer has begun; the module has its outcome
 
 
 class Broker:
@@ -76,6 +78,29 @@
         """Requests that are still owed an answer."""
         return len(self._held)
 
+    @property
+    def dispatches(self) -> int:
+        """Attempts that were written whole."""
+        return self.counts.dispatches
+
+    @property
+    def concurrent(self) -> int:
+        """Requests taken and not yet ended."""
+        return self.held
+
+    def class_totals(self) -> dict[str, ClassTotals]:
+        """How the requests of each class ended, over all plans."""
+        totals = {name: ClassTotals() for name in self._settings.classes}
+        for (_, name), usage in self.counts.usage.items():
+            totals[name].success += usage.served
+            totals[name].overload += usage.refused
+            totals[name].error += usage.failed
+        return totals
+
+    def backing_off(self) -> set[str]:
+        """The chunk servers that the decisions avoid for now."""
+        return {name for name, node in self._scheduler.nodes.items() if node.fails >= FAILS}
+
     def _now(self) -> float:
         return self._loop.time() + self._offset
 
@@ -139,7 +164,7 @@
         held.usage.taken += 1
         self._handle(api.Request(
             held.id, request.volume, request.cls, request.plan, request.time_left.total_seconds(),
-            request.units, request.shard, request.key, request.hosts, hold.attempts if hold else 0))
+            request.units, request.shard, request.key, request.hosts, self._most_attempts(held)))
         return held
 
     def _check(self, request: Request) -> None:
@@ -180,16 +205,34 @@
             held.id, outcome.attempt.number, outcome.attempt.node, status, outcome.latency.total_seconds(),
             closed=served or held.final is not None, report=outcome.load, elsewhere=outcome.elsewhere,
             most_attempts=0 if served or held.final else self._paid(held)))
-        if served:
+        if not served:
+            return
+        held.usage.units += held.request.units
+        held.usage.waited += self._clock() - held.taken_at
+        if outcome.unfinished:
+            held.passing_on = True
+        else:
             held.usage.served += 1
-            held.usage.units += held.request.units
-            held.usage.waited += self._clock() - held.taken_at
             self._forget(held)
 
+    def finish(self, request: Request, whole: bool) -> None:
+        """The end of an answer that was passed on as it came; not whole: its chunk server broke it off."""
+        held = self._held[request]
+        held.usage.served += whole
+        held.usage.failed += not whole
+        self._forget(held)
+
+    @staticmethod
+    def _most_attempts(held: _Held) -> int:
+        """Attempts that may be made as things stand; 0: any number."""
+        if not held.request.repeatable:
+            return 1
+        return held.hold.attempts if held.hold else 0
+
     def _paid(self, held: _Held) -> int:
         """Attempts that are paid for, one more than were made if the budgets bear it; 0: any number."""
-        if held.hold is None or self._gate is None:
-            return 0
+        if held.hold is None or self._gate is None or not held.request.repeatable:
+            return self._most_attempts(held)
         if held.attempts >= held.hold.attempts and held.attempts < self._settings.max_attempts:
             self._gate.extend(self._now(), held.hold)
         return held.hold.attempts
@@ -202,7 +245,7 @@
         held.usage.left += 1
         held.ran += held.out is not None
         self._forget(held)
-        if held.final is None:
+        if held.final is None and not held.passing_on:
             self._handle(api.Gone(held.id))
         if held.out is not None:
             number, node = held.out.number, held.out.node
--- a/ochrespan/data_plane/exchange.py
+++ b/ochrespan/data_plane/exchange.py
@@ -12,7 +12,8 @@
 from .decisions import Action, Fail, Outcome, Refuse, Request, Send
 from .dispatcher import Dispatcher
 from .event_stream import EventStream
-from .own_answers import OwnAnswer, StartResponse, answer_for
+from .own_answers import OwnAnswer, StartResponse, answer_for, over_quota
+from .quota_ticket import QuotaTicket
 from .request_head import ClientGone
 from .server_answer import MISDIRECTED, ServerAnswer
 from .server_pools import ServerPools
@@ -46,6 +47,7 @@
         client: ClientConnection,
         request: Request,
         server_request: ServerRequest,
+        ticket: QuotaTicket | None = None,
     ) -> None:
         self._dispatcher = tools.dispatcher
         self._pools = tools.pools
@@ -53,6 +55,7 @@
         self._client = client
         self._request = request
         self._server_request = server_request
+        self._ticket = ticket
         self._unsafe = not (request.safe or request.resumable)
         self._decision: Action | None = None
         self._expired = False
@@ -91,11 +94,18 @@
         self._decision = action
         self._client.wakeup.notify()
 
+    def refuse_unsent(self) -> None:
+        """Gives the request up if no server has been tried, since the router ends."""
+        if not self._was_sent and self._attempt is None and self._decision is None:
+            self.decide(Refuse(self._request.id, 503, FALLBACK_RETRY_AFTER_S))
+
     def _find_answer(self) -> Attempt | OwnAnswer:
         while True:
             decision = self._next_decision()
             if not isinstance(decision, Send):
                 return answer_for(decision, self._server_request.request_id)
+            if self._ticket is not None and not self._ticket.renew():
+                return over_quota(self._server_request.request_id, self._ticket.retry_after_s)
             if attempt := self._begin_attempt(decision):
                 return attempt
 
@@ -213,6 +223,8 @@
     def _resume(self, outcome: Outcome) -> Attempt:
         """The attempt that continues the stream; raises AnswerBroken where none does."""
         self._end_attempt(outcome)
+        if not self._request.resumable:
+            raise AnswerBroken(outcome.value)
         while True:
             decision = self._next_decision()
             if not isinstance(decision, Send):
