--- a/ochrespan/control_plane/quota_client.py
+++ b/ochrespan/control_plane/quota_client.py
@@ -1,8 +1,9 @@
 """A router's end of the quotas: takes tokens for requests out of grants of the tenants' owners.
 
 `take` is called when a request comes; where the grants at hand do not suffice it asks the owner, and waits for a short
-time. A tenant with many requests gets grants ahead of them, so that most requests need not wait. A request that is sent
-later than SEND_DELAY_S after that calls `renew` first, since its tokens count when it reaches its server.
+time. Where none answers, or where the owner is new and began with an empty bucket, the router spends its part of the
+sure share. A tenant with many requests gets grants ahead of them, so that most requests need not wait. A request that
+is sent later than SEND_DELAY_S after that calls `renew` first, since its tokens count when it reaches its server.
 """
 
 from __future__ import annotations
@@ -26,6 +27,7 @@
 ANSWER_TIMEOUT_S = 0.3
 SILENT_OWNER_PAUSE_S = 0.1  # where no owner answered, none is asked again for this long
 NO_OWNER_RETRY_S = 0.3
+LONGEST_WAIT_S = 0.12  # for tokens that the owner will have by then
 MOST_ASKED = 3
 AHEAD_S = 0.2  # of a tenant's demand is asked for ahead
 AHEAD_FROM_REQUESTS_PER_S = 10.0
@@ -96,7 +98,9 @@
         ask_at: Callable[[str], Sequence[Address]],
         call: Callable[[Address, Any, float], Any],
         clock: Callable[[], float] = monotonic,
+        pause: Callable[[float], None] = gevent.sleep,
     ) -> None:
+        self._pause = pause
         self._router = router
         self._bounds = bounds
         self._ask_at = ask_at
@@ -138,9 +142,7 @@
         state = self._states.get(tenant)
         if state is None or taken.holds(self._clock()):
             return taken
-        if taken.epoch is None:
-            return Taken(True, 0.0, taken.tokens, None, self._clock())
-        state.granted.give_back(taken.tokens, taken.epoch)
+        self.release(tenant, taken)
         return self._take_by_asking(tenant, taken.tokens)
 
     def release(self, tenant: str, taken: Taken) -> None:
@@ -150,16 +152,24 @@
             state.granted.give_back(taken.tokens, taken.epoch)
 
     def _take_by_asking(self, tenant: str, tokens: float) -> Taken:
+        """Waits where the owner will have the tokens shortly, since a refusal would cost the client more."""
+        taken = self._take_once(tenant, tokens)
+        if not taken.allowed and taken.retry_after_s <= LONGEST_WAIT_S and tenant in self._states:
+            self._pause(taken.retry_after_s)
+            if tenant in self._states:
+                return self._take_once(tenant, tokens)
+        return taken
+
+    def _take_once(self, tenant: str, tokens: float) -> Taken:
         state = self._states[tenant]
         grant = self._ask(tenant, state, tokens, state.demand.wanted_ahead())
         now = self._clock()
         if state.granted.take(tokens, now):
             return self._taken(tenant, tokens, now)
-        if grant is not None:
-            return Taken(False, grant.retry_after_s)
-        if state.sure.take(tokens, now):
+        has_settled = grant is not None and grant.owner_age_s >= self._bounds.window_s
+        if not has_settled and state.sure.take(tokens, now):
             return Taken(True, 0.0, tokens, None, now)
-        return Taken(False, NO_OWNER_RETRY_S)
+        return Taken(False, NO_OWNER_RETRY_S if grant is None else grant.retry_after_s)
 
     def _taken(self, tenant: str, tokens: float, now: float) -> Taken:
         state = self._states.get(tenant)
