Windows of chunk servers do not narrow on long work where no queue is reported

Works of one class differ by a factor of ten (latency at 1 unit: 6, 21 and 90 ms at 10, 50 and 90 in 100), so half of all answers are over 1.5 times the best and narrowed the window. Now an answer whose report tells an empty queue narrows nothing; without a report latency leads as before.

--- a/ochrespan/policy/front.py
+++ b/ochrespan/policy/front.py
@@ -215,7 +215,7 @@
         self.touched |= dict.fromkeys(s for s in (node.entry.shard, ANY) if s in self.lanes)
         self._reported(node, got.report)
         if got.status is Status.OK:
-            self._served(node, got.latency, job.req, sent_at, got.report.get("queue", 0.0))
+            self._served(node, got, job.req, sent_at)
             job.flow.over += self.now - job.taken_at - job.cls.aim
         elif got.status not in (Status.MOOT, Status.CANCELLED):  # these tell nothing of the node
             self._failed(node, got, sent_at)
@@ -230,20 +230,21 @@
         else:
             self._queue(job, first=True)
 
-    def _served(self, node: Node, latency: float, req: api.Request, sent_at: float, queue: float) -> None:
+    def _served(self, node: Node, got: api.Outcome, req: api.Request, sent_at: float) -> None:
         """What an answer tells: the node's speed and queue wait, and the window that they lead."""
+        queue, x = got.report.get("queue"), got.latency / self._work(req)
         if node.fails >= FAILS:
             self.acts.append(api.Log(f"node {node.entry.id} answers again"))
         node.fails, node.answered_to = 0, max(node.answered_to, sent_at)
         self.lossy -= SMOOTH * self.lossy
-        x = latency / self._work(req)
         best = node.best.get(req.cls) or x
         best = node.best[req.cls] = best + (SMOOTH if x < best else SMOOTH / 5) * (x - best)
         keep = (1 - SMOOTH) * exp((node.seen_at - self.now) / (2 * self.patience))
-        node.wait = keep * node.wait + (1 - keep) * max(0.0, latency - best * self._work(req))
+        node.wait = keep * node.wait + (1 - keep) * max(0.0, got.latency - best * self._work(req))
         node.seen_at = self.now
-        # among many heads also on a queue that others made: few answers of our own would tell of it
-        if x > WINDOW_TOLERANCE * best or (queue and WINDOW_START * self.set.heads > WINDOW_ALL):
+        # with no queue there the work itself was long; among many heads also on a queue that others made
+        if (x > WINDOW_TOLERANCE * best and queue != 0) or (
+                queue and WINDOW_START * self.set.heads > WINDOW_ALL):
             node.window = narrowed(node.window)
         elif node.out + 1 >= int(node.window):
             node.window = widened(node.window, WINDOW_CAP)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -162,6 +162,21 @@
     assert (head.nodes["n0"].window > 2) is widens
 
 
+@pytest.mark.parametrize(("report", "narrows"), [({}, True), ({"queue": 2.0}, True), ({"queue": 0.0}, False)])
+def test_long_work_at_a_server_that_reports_no_queue_does_not_narrow_its_window(report, narrows):
+    """From the tenth on, every second answer takes four times as long, as with works of very different sizes."""
+    head = Scheduler(settings(heads=4), 100.0)
+    head.handle(100.0, [NodeList(ListKind.FULL, [entry(0)])])
+    for turn in range(60):
+        now = 100.0 + turn
+        request = api.Request(f"r{turn}", "v", "read", "free", 4.0, 2, 0)
+        sent = [act for act in head.handle(now, [request]) if isinstance(act, api.Send)]
+        assert len(sent) == 1
+        latency = 0.05 if turn < 10 or turn % 2 else 0.2
+        head.handle(now + latency, [api.Outcome(request.id, 0, "n0", Status.OK, latency, True, report)])
+    assert (head.nodes["n0"].window < 2.5) is narrows and (head.nodes["n0"].window >= 3) is not narrows
+
+
 @pytest.mark.parametrize(("queue_wait", "sent"), [(0.05, {"read", "export"}), (0.2, {"read"}), (0.6, set())])
 def test_what_has_time_leaves_a_queue_to_what_has_none(queue_wait, sent):
     classes = {name: api.RequestClass(name, aim, 2 * aim) for name, aim in (("read", 0.5), ("export", 4.5))}
