Pre-votes come early after a start; a router loads no part of the controllers

Replicas waited for a leader for 0.15 to 0.6 s although none can have lived through it unheard: a pre-vote beside a living leader is refused and changes nothing (a test holds that). A router imported the replica host and the present front's scheduler for two small classes: Peers, Share, Recent and the quota bounds have modules of their own.

--- a/benchmarks/core_times.py
+++ b/benchmarks/core_times.py
@@ -187,6 +187,22 @@
     return until_led(world, world.now)
 
 
+def after_loss_of_all(seed: int) -> float:
+    """Seconds from the return of all machines, which lost power at once, until every shard has a leader."""
+    world = World(seed)
+    world.run(WARM_UP_S + seed * STEP_S)
+    nodes = list(world.nodes.values())
+    for node in nodes:
+        node.lose_power()
+    world.run(RESTART_S)
+    began = world.now
+    for node in nodes:
+        node.start(world.seeds, bootstrap=False)
+    while any(world.leader(shard) is None for shard in world.shards):
+        world.run(STEP_S)
+    return world.now - began
+
+
 def acknowledged(seed: int) -> float:
     """Seconds from an order at its leader to its acknowledgement."""
     world = World(seed)
@@ -220,11 +236,12 @@
 
     :param rounds: seeds for each time
     """
-    seeds = iter(range(rounds * 5))
+    seeds = iter(range(rounds * 6))
     measure("order acknowledged", rounds, lambda: acknowledged(next(seeds)))
     measure("leader after a kill", rounds, lambda: after_loss(next(seeds), Node.kill))
     measure("leader after a loss of power", rounds, lambda: after_loss(next(seeds), Node.lose_power))
     measure("leader after a planned end", rounds, lambda: after_loss(next(seeds), leave))
+    measure("leaders after all lost power", rounds, lambda: after_loss_of_all(next(seeds)))
     measure("replacement is a voter", rounds, lambda: after_replacement(next(seeds)))
     return 0
 
--- a/benchmarks/module_cost.py
+++ b/benchmarks/module_cost.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable
 
 from ochrespan import interface as api
-from ochrespan.policy import Scheduler
+from ochrespan.policy.front import Scheduler
 
 from .machine import machine
 
--- a/ochrespan/control_plane/control_service.py
+++ b/ochrespan/control_plane/control_service.py
@@ -7,15 +7,14 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from time import monotonic
 from typing import Any
 
 import gevent
 
 from ..coordination.shards import CONFIG_SHARD, shard_of
-from ..transport.rpc import Caller, CallFailed, CallServer
-from ..transport.tcp import Address
+from ..transport.rpc import CallFailed, CallServer
 from .answers import OK, Answer, NotTheLeader, json_answer, unavailable
 from .instances import InstanceMachine, InstanceRecord, record_fields
 from .orders import Order
@@ -29,6 +28,7 @@
     ReplicaGroups,
     order_timeout,
 )
+from .peers import Peers
 from .replica_host import NotLeader
 
 log = logging.getLogger(__name__)
@@ -36,24 +36,6 @@
 RETRY_PAUSE_S = 0.04
 
 
-class Peers:
-    """One connection to each other controller, opened when it is first needed."""
-
-    def __init__(self) -> None:
-        self._callers: dict[Address, Caller] = {}
-
-    def call(self, address: Address, request: Any, timeout: float) -> Any:
-        """The reply of the process at `address`; raises CallFailed."""
-        if address not in self._callers:
-            self._callers[address] = Caller(address)
-        return self._callers[address].call(request, timeout)
-
-    def keep_only(self, addresses: Iterable[Address]) -> None:
-        """Closes the connections to processes that are gone."""
-        for address in set(self._callers) - set(addresses):
-            self._callers.pop(address).close()
-
-
 class ControlService:
     """The calls of servers and of the operator, as typed requests."""
 
--- a/ochrespan/control_plane/controller_node.py
+++ b/ochrespan/control_plane/controller_node.py
@@ -13,7 +13,7 @@
 from ..transport.rpc import CallServer
 from ..transport.tcp import Address, format_address
 from .api import ControlApi
-from .control_service import ControlService, Peers
+from .control_service import ControlService
 from .feed_messages import longest
 from .feed_server import FeedServer
 from .home_owner import HomeOwner
@@ -21,6 +21,7 @@
 from .lag_watch import LagWatch
 from .orders import ConfigurationMachine
 from .owners import ConfigurationOwner, InstanceOwner, ReplicaGroups
+from .peers import Peers
 from .presence import PresenceReporter, RouterCensus
 from .quota import QuotaBounds
 from .quota_owner import QuotaOwner
--- /dev/null
+++ b/ochrespan/control_plane/peers.py
@@ -0,0 +1,27 @@
+"""Connections to other processes of the fleet for calls, kept open between calls."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from ..transport.rpc import Caller
+from ..transport.tcp import Address
+
+
+class Peers:
+    """One connection to each other controller, opened when it is first needed."""
+
+    def __init__(self) -> None:
+        self._callers: dict[Address, Caller] = {}
+
+    def call(self, address: Address, request: Any, timeout: float) -> Any:
+        """The reply of the process at `address`; raises CallFailed."""
+        if address not in self._callers:
+            self._callers[address] = Caller(address)
+        return self._callers[address].call(request, timeout)
+
+    def keep_only(self, addresses: Iterable[Address]) -> None:
+        """Closes the connections to processes that are gone."""
+        for address in set(self._callers) - set(addresses):
+            self._callers.pop(address).close()
--- a/ochrespan/control_plane/presence.py
+++ b/ochrespan/control_plane/presence.py
@@ -12,10 +12,10 @@
 
 from ..transport.rpc import CallFailed, CallServer
 from ..transport.tcp import Address
-from .control_service import Peers
 from .feed_messages import Presence
 from .lag_watch import LagWatch
 from .owners import ReplicaGroups, applied_offsets
+from .peers import Peers
 
 log = logging.getLogger(__name__)
 
--- a/ochrespan/control_plane/quota.py
+++ b/ochrespan/control_plane/quota.py
@@ -9,7 +9,9 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import Any
 
 GRANT_LIFETIME_S = 0.5
 SEND_DELAY_S = 0.3  # from the moment when tokens are taken to the arrival of the request at a server
@@ -33,6 +35,16 @@
         return (rate * self.window_s + burst) * (1 + self.overshoot) + self.slack
 
 
+def bounds_from(figures: Mapping[str, Any]) -> QuotaBounds:
+    """The bounds as the settings name them."""
+
+    def figure(name: str, default: float) -> float:
+        value = figures.get(name)
+        return float(value) if type(value) in (int, float) else default
+
+    return QuotaBounds(figure("quota_window_s", 8.0), figure("quota_overshoot", 0.0), figure("quota_slack", 0.0))
+
+
 @dataclass(frozen=True, slots=True)
 class QuotaTerms:
     """A tenant's bucket at its owner, and the sure share, which routers spend that reach no owner."""
--- a/ochrespan/control_plane/quota_owner.py
+++ b/ochrespan/control_plane/quota_owner.py
@@ -9,9 +9,8 @@
 import itertools
 import logging
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from time import monotonic
-from typing import Any
 
 from ..coordination.shards import shard_of
 from ..transport.rpc import CallServer
@@ -88,13 +87,3 @@
         if (bucket.rate, bucket.depth) != (terms.rate, terms.depth):
             bucket.change(terms.rate, terms.depth, now)
         return bucket
-
-
-def bounds_from(figures: Mapping[str, Any]) -> QuotaBounds:
-    """The bounds as the settings name them."""
-
-    def figure(name: str, default: float) -> float:
-        value = figures.get(name)
-        return float(value) if type(value) in (int, float) else default
-
-    return QuotaBounds(figure("quota_window_s", 8.0), figure("quota_overshoot", 0.0), figure("quota_slack", 0.0))
--- a/ochrespan/control_plane/router_quota.py
+++ b/ochrespan/control_plane/router_quota.py
@@ -7,11 +7,11 @@
 
 from ..coordination.shards import shard_of
 from ..transport.tcp import Address
-from .control_service import Peers
 from .feed_client import FeedClient
 from .fleet_table import FleetTable
+from .peers import Peers
+from .quota import bounds_from
 from .quota_client import QuotaClient
-from .quota_owner import bounds_from
 
 
 def owners_of(feed: FeedClient) -> Callable[[str], list[Address]]:
--- a/ochrespan/coordination/core.py
+++ b/ochrespan/coordination/core.py
@@ -119,6 +119,17 @@
         deadline = self.now + self.random.uniform(shortest, self.timing.lost_connection_s * 1.75)
         self.election_deadline = min(self.election_deadline, deadline)
 
+    def set_first_deadline(self) -> None:
+        """The process has just started: where a leader lives, the others' pre-votes refuse, so it need not be awaited."""
+        shortest = self.timing.election_min_s
+        span = (shortest / 12, shortest / 6) if self.preferred else (shortest / 5, shortest / 2)
+        self.election_deadline = self.now + self.random.uniform(*span)
+
+    def reset_pre_vote_deadline(self) -> None:
+        """A pre-vote has been asked for: it changes nothing at the others, so it is soon asked for again."""
+        shortest = self.timing.election_min_s
+        self.election_deadline = self.now + self.random.uniform(shortest / 8, shortest / 3)
+
     def reset_campaign_deadline(self) -> None:
         """A campaign has begun: it is tried again sooner than a leader's silence is believed."""
         shortest = self.timing.election_min_s
--- a/ochrespan/coordination/election.py
+++ b/ochrespan/coordination/election.py
@@ -18,7 +18,7 @@
     def tick(self) -> None:
         core = self._core
         if core.role is not Role.LEADER and core.now >= core.election_deadline:
-            core.reset_campaign_deadline()
+            core.reset_pre_vote_deadline()
             if core.is_voter and not core.abstaining:
                 self._begin(pre_vote=True, hand_over=False)
             elif core.role is not Role.FOLLOWER:
--- a/ochrespan/coordination/replica.py
+++ b/ochrespan/coordination/replica.py
@@ -53,7 +53,7 @@
         self._reads: list[tuple[float, int, Any]] = []  # stamp, index that has to be applied, token
         self.failed_reads: list[Any] = []
         self._hand_over = HandOver(self.core, self.replication)
-        self.core.reset_campaign_deadline()
+        self.core.set_first_deadline()
 
     # What the caller asks
 
--- a/ochrespan/data_plane/flows.py
+++ b/ochrespan/data_plane/flows.py
@@ -6,7 +6,7 @@
 from math import inf
 
 from ..policy.arr import KAPPA, ROUND, end_round
-from ..state import Share
+from ..share import Share
 from .decisions import Request
 from .urgency import Ranks
 
--- a/ochrespan/policy/__init__.py
+++ b/ochrespan/policy/__init__.py
@@ -1,5 +1,1 @@
 """Decisions, shared by the present front and the router: LexAS gating, ARR's pick, latency-led windows."""
-
-from .front import Scheduler
-
-__all__ = ["Scheduler"]
--- a/ochrespan/programs/controller.py
+++ b/ochrespan/programs/controller.py
@@ -14,7 +14,7 @@
 from ..control_plane.controller_node import ControllerNode, ControlState
 from ..control_plane.membership import CONTROLLER_ROLE, MembershipDriver, membership_settings
 from ..control_plane.peer_addresses import peer_address, seed_peer_addresses
-from ..control_plane.quota_owner import bounds_from
+from ..control_plane.quota import bounds_from
 from ..control_plane.replica_host import HostSettings, ReplicaHost
 from ..observability import logs
 from ..transport.tcp import Address, parse_address
--- a/ochrespan/programs/router.py
+++ b/ochrespan/programs/router.py
@@ -11,12 +11,12 @@
 from gevent.event import Event
 
 from ..control_plane.checking import CheckFailed, Finding
-from ..control_plane.control_service import Peers
 from ..control_plane.feed_client import FeedClient
 from ..control_plane.fleet_table import FleetChange, FleetTable
 from ..control_plane.home_client import HomeClient
 from ..control_plane.membership import ROUTER_ROLE, MembershipDriver, membership_settings
 from ..control_plane.peer_addresses import seed_peer_addresses
+from ..control_plane.peers import Peers
 from ..control_plane.router_quota import configure_quotas, owners_of, quota_client_for
 from ..data_plane.router_node import DrainTimes, MachineLimits, RouterNode
 from ..data_plane.scheduler import Scheduler
--- a/ochrespan/simhost.py
+++ b/ochrespan/simhost.py
@@ -11,7 +11,7 @@
 from typing import TextIO
 
 from . import interface as api
-from .policy import Scheduler
+from .policy.front import Scheduler
 from .settings import NS, REPORT_NAMES, Fields, Malformed, flag, number, pairs, read_settings, seconds, text, told
 
 STATUSES = {
--- a/ochrespan/state.py
+++ b/ochrespan/state.py
@@ -8,6 +8,8 @@
 from math import inf
 
 from . import interface as api
+from .recent import Recent
+from .share import Share
 
 
 @dataclass(slots=True)
@@ -31,21 +33,6 @@
         self.rate, self.burst = rate, burst
 
 
-@dataclass(slots=True)
-class Recent:
-    """What was added within a sliding span of time."""
-
-    items: deque[tuple[float, float]] = field(default_factory=deque)
-
-    def add(self, now: float, amount: float) -> None:
-        self.items.append((now, amount))
-
-    def total(self, now: float, span: float) -> float:
-        while self.items and self.items[0][0] <= now - span:
-            self.items.popleft()
-        return sum(amount for _, amount in self.items)
-
-
 @dataclass(slots=True, eq=False)
 class Volume:
     plan: api.Plan
@@ -53,17 +40,6 @@
     limit: Store | None  # likewise of its limit
 
 
-@dataclass(slots=True, eq=False, kw_only=True)
-class Share:
-    """What LexAS and ARR keep of one flow."""
-
-    eta: float = 0.0  # units allocated over weight
-    gain: float = 0.0
-    a: int = 0  # sends since the last reset
-    over: float = 0.0  # s, this round's latencies less their aims, summed: above 0 their mean missed the aim
-    used_at: float = 0.0
-
-
 @dataclass(slots=True, eq=False)
 class Flow(Share):
     """A volume in one class."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from ochrespan import interface as api
-from ochrespan.policy import Scheduler
+from ochrespan.policy.front import Scheduler
 
 READ = api.RequestClass("read", aim=0.5, deadline=4.0, worth=2.0, effect=api.Effect.SAFE)
 SAVE = api.RequestClass("save", aim=0.6, deadline=4.0, worth=2.0, effect=api.Effect.SAFE, in_order=True)
--- a/tests/test_core_behaviour.py
+++ b/tests/test_core_behaviour.py
@@ -215,3 +215,38 @@
         replica.core.commit_index = replica.core.applied_index = 40
         replica.compact(b"state")
         assert (log.first_index, log.last_index) == (41 - kept, 50)
+
+
+# Start
+
+
+def test_leaders_are_back_soon_after_all_machines_lost_power():
+    """No leader has to be awaited at a start: pre-votes are refused where one lives."""
+    spans = []
+    for seed in range(12):
+        world = World(seed)
+        world.run(3.0)
+        for node in world.nodes.values():
+            node.lose_power()
+        world.run(0.5)
+        began = world.now
+        for node in world.nodes.values():
+            node.start(world.seeds, bootstrap=False)
+        while any(world.leader(shard) is None for shard in world.shards):
+            world.run(0.01)
+        spans.append(world.now - began)
+    assert sorted(spans)[len(spans) // 2] < 0.2
+
+
+def test_a_machine_that_starts_beside_a_living_leader_does_not_replace_it():
+    world = World(3)
+    world.run(8.0)  # the leaders are where they belong
+    leaders = {shard: world.leader(shard) for shard in world.shards}
+    terms = {shard: leader.table.replicas[shard].core.term for shard, leader in leaders.items()}
+    other = next(node for node in world.nodes.values() if node not in leaders.values())
+    other.lose_power()
+    world.run(0.5)
+    other.start(world.seeds, bootstrap=False)
+    world.run(3.0)
+    assert {shard: world.leader(shard) for shard in world.shards} == leaders
+    assert {shard: leader.table.replicas[shard].core.term for shard, leader in leaders.items()} == terms
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -6,9 +6,9 @@
 import pytest
 from gevent.event import Event
 
-from ochrespan.control_plane.control_service import Peers
 from ochrespan.control_plane.feed_client import FeedClient
 from ochrespan.control_plane.fleet_table import FleetChange, FleetTable
+from ochrespan.control_plane.peers import Peers
 from ochrespan.control_plane.router_quota import configure_quotas, quota_client_for
 from ochrespan.coordination.shards import shard_of
 from tests.control_plane_world import World, configuration, instance, route, tenant
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,7 +8,7 @@
 
 from ochrespan import interface as api
 from ochrespan.interface import ListKind, NodeList, Status
-from ochrespan.policy import Scheduler
+from ochrespan.policy.front import Scheduler
 
 from .helpers import entry, settings
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -13,11 +13,12 @@
     GrantedTokens,
     QuotaBounds,
     TokenBucket,
+    bounds_from,
     terms_for,
 )
 from ochrespan.control_plane.quota_client import SHORTEST_RETRY_S, QuotaClient, cost_of
 from ochrespan.control_plane.quota_messages import Grant, GrantRequest, NotTheOwner
-from ochrespan.control_plane.quota_owner import LEASE_S, QuotaOwner, bounds_from
+from ochrespan.control_plane.quota_owner import LEASE_S, QuotaOwner
 from ochrespan.control_plane.views import QuotaUnit, Tenant
 from ochrespan.coordination.shards import ALL_SHARDS, shard_of
 from ochrespan.transport.rpc import CallFailed
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -4,7 +4,7 @@
 
 from ochrespan import interface as api
 from ochrespan.interface import ListKind, NodeList, Status
-from ochrespan.policy import Scheduler
+from ochrespan.policy.front import Scheduler
 
 from .helpers import count_calls, entry, settings
 
