--- a/ochrespan/coordination/core.py
+++ b/ochrespan/coordination/core.py
@@ -120,7 +120,7 @@
         self.election_deadline = min(self.election_deadline, deadline)
 
     def set_first_deadline(self) -> None:
-        """The process has just started: where a leader lives, the others' pre-votes refuse, so it need not be awaited."""
+        """The process has just started: no leader need be awaited, as pre-votes are refused where one lives."""
         shortest = self.timing.election_min_s
         span = (shortest / 12, shortest / 6) if self.preferred else (shortest / 5, shortest / 2)
         self.election_deadline = self.now + self.random.uniform(*span)
