--- a/ochrespan/policy/front.py
+++ b/ochrespan/policy/front.py
@@ -33,7 +33,7 @@
 COLD_SAFETY = 0.8  # part of the cold budget that is used: chance and handshakes take the rest
 USUAL = 0.8  # kept from round to round of what was asked of each shard: five seconds tell what is usual
 UNKNOWN = 10.0  # requests, spread evenly over all shards, that stand for what we have not seen yet
-LEAST_BUSY = 0.3  # what warm nodes are taken to be busy at least
+LEAST_BUSY, HALF_BUSY = 0.3, 0.5  # what warm nodes are taken to be busy at least; and with room for more
 LOST, LOSSY = 4.0, 0.02  # multiple of what an attempt should take; part of answers lost that makes it act
 ANY = -1  # the shard of new objects
 HUNG = {Status.TIMEOUT, Status.RESET, Status.CANCELLED, Status.UNKNOWN}  # may still be running
@@ -243,8 +243,8 @@
         keep = (1 - SMOOTH) * exp((node.seen_at - self.now) / (2 * self.patience))
         node.wait = keep * node.wait + (1 - keep) * max(0.0, got.latency - best * self._work(req))
         node.seen_at = self.now
-        # with no queue there the work itself was long; among many heads also on a queue that others made
-        if (x > WINDOW_TOLERANCE * best and queue != 0) or (
+        # half idle, it was the work that was long; among many heads also on a queue that others made
+        if (x > WINDOW_TOLERANCE * best and got.report.get("util", 1.0) > HALF_BUSY) or (
                 queue and WINDOW_START * self.set.heads > WINDOW_ALL):
             node.window = narrowed(node.window)
         elif node.out + 1 >= int(node.window):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -162,8 +162,9 @@
     assert (head.nodes["n0"].window > 2) is widens
 
 
-@pytest.mark.parametrize(("report", "narrows"), [({}, True), ({"queue": 2.0}, True), ({"queue": 0.0}, False)])
-def test_long_work_at_a_server_that_reports_no_queue_does_not_narrow_its_window(report, narrows):
+@pytest.mark.parametrize(("report", "narrows"), [
+    ({}, True), ({"queue": 2.0}, True), ({"util": 0.9, "queue": 0.0}, True), ({"util": 0.4, "queue": 0.0}, False)])
+def test_long_work_at_a_server_that_is_half_idle_does_not_narrow_its_window(report, narrows):
     """From the tenth on, every second answer takes four times as long, as with works of very different sizes."""
     head = Scheduler(settings(heads=4), 100.0)
     head.handle(100.0, [NodeList(ListKind.FULL, [entry(0)])])
