fleetctl: history, hand-over, backup and restore, drain of a router, check of settings

Need: operators could not see who changed what when, move leadership off a machine before work on it, keep the control state in a file, or take a router out of service without stopping it. A backup is checksummed and written whole or not at all; restore has a dry run, goes through the ordinary order on top of the present version and drains what drained. A router's ready address takes an operator's drain. Way not taken: restoring servers' records; they register by themselves, and a restored record would name machines that may be gone. Measured: tests of each on loopback, replica hosts with real disks for the hand-over.

--- a/ochrespan/control_plane/api.py
+++ b/ochrespan/control_plane/api.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import time
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any
@@ -24,9 +25,16 @@
     json_answer,
     refusal,
 )
-from .checking import CheckFailed, Finding
+from .checking import Check, CheckFailed, Finding
 from .control_service import ControlService
-from .documents import CHECK_CONFIGURATION, CHECK_INSTANCE, CHECK_PATCH, MAX_ID_CHARACTERS, read_json
+from .documents import (
+    CHECK_CONFIGURATION,
+    CHECK_INSTANCE,
+    CHECK_LEADERSHIP,
+    CHECK_PATCH,
+    MAX_ID_CHARACTERS,
+    read_json,
+)
 from .instances import record_of
 from .orders import OrderKind, make_order
 
@@ -60,6 +68,8 @@
         self._registry = registry
         self._routes: dict[str, dict[str, Handler]] = {
             "/api/config": {"GET": self._get_config, "PUT": self._put_config, "PATCH": self._patch_config},
+            "/api/config/history": {"GET": self._get_history},
+            "/api/leadership": {"PUT": self._put_leadership},
             "/api/readyz": {"GET": self._get_ready},
             "/api/status": {"GET": self._get_status},
         }
@@ -102,12 +112,21 @@
         return self._service.read_configuration()
 
     def _put_config(self, environment: Environment) -> Answer:
-        version, body = _read_version(environment), _read_body(environment)
-        return self._service.order(make_order(OrderKind.WHOLE, version, read_json(body, CHECK_CONFIGURATION)))
+        return self._order(OrderKind.WHOLE, CHECK_CONFIGURATION, environment)
 
     def _patch_config(self, environment: Environment) -> Answer:
+        return self._order(OrderKind.PATCH, CHECK_PATCH, environment)
+
+    def _order(self, kind: OrderKind, check: Check, environment: Environment) -> Answer:
         version, body = _read_version(environment), _read_body(environment)
-        return self._service.order(make_order(OrderKind.PATCH, version, read_json(body, CHECK_PATCH)))
+        return self._service.order(make_order(kind, version, read_json(body, check), _now_ms()))
+
+    def _get_history(self, environment: Environment) -> Answer:
+        return self._service.read_history()
+
+    def _put_leadership(self, environment: Environment) -> Answer:
+        wanted = read_json(_read_body(environment), CHECK_LEADERSHIP)
+        return self._service.decline_leadership(wanted["decline_for_s"])
 
     def _put_instance(self, environment: Environment) -> Answer:
         instance_id = _read_instance_id(environment)
@@ -130,6 +149,10 @@
     return server
 
 
+def _now_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
 def _read_version(environment: Environment) -> int:
     given = environment.get("HTTP_IF_MATCH", "")
     bare = given.strip().removeprefix("W/").strip('"')
--- a/ochrespan/control_plane/control_service.py
+++ b/ochrespan/control_plane/control_service.py
@@ -25,6 +25,7 @@
     InstanceOwner,
     InstanceReport,
     ReadConfiguration,
+    ReadHistory,
     ReplicaGroups,
     order_timeout,
 )
@@ -53,6 +54,7 @@
         self._handlers: dict[type, Callable[[Any], Answer]] = {
             Order: configuration_owner.order,
             ReadConfiguration: configuration_owner.read,
+            ReadHistory: configuration_owner.history,
             InstanceReport: instance_owner.report,
             InstanceEnded: instance_owner.ended,
         }
@@ -70,6 +72,15 @@
         """The newest configuration."""
         return self._at_leader(CONFIG_SHARD, ReadConfiguration(), CALL_TIMEOUT_S)
 
+    def read_history(self) -> Answer:
+        """The latest changes of the configuration."""
+        return self._at_leader(CONFIG_SHARD, ReadHistory(), CALL_TIMEOUT_S)
+
+    def decline_leadership(self, span_s: float) -> Answer:
+        """This controller hands over what it leads, and leads nothing for so long; 0 ends that."""
+        self._groups.decline_leadership(span_s)
+        return json_answer(OK, {"declines_leadership_for_s": span_s})
+
     def report(self, record: InstanceRecord) -> Answer:
         """Takes a server's report of itself."""
         shard = shard_of(record.backend)
--- a/ochrespan/control_plane/controller_node.py
+++ b/ochrespan/control_plane/controller_node.py
@@ -128,6 +128,7 @@
             "node": self._node,
             "zone": self._zone,
             "version": self._state.configuration.current.version,
+            "declines_leadership_for_s": round(self._groups.declines_leadership_for(), 1),
             "shards": [self._shard_status(shard) for shard in ALL_SHARDS],
             "controllers": [
                 {"address": format_address(address), "zone": zone} for address, zone in self._controllers()
--- a/ochrespan/control_plane/documents.py
+++ b/ochrespan/control_plane/documents.py
@@ -215,9 +215,16 @@
     models: NotRequired[Annotated[list[ModelDocument] | None, optional(list_of(typed(ModelDocument)))]]
 
 
+class LeadershipDocument(TypedDict):
+    """An operator's wish that a controller leads nothing for a time; 0 ends it."""
+
+    decline_for_s: Annotated[float, number()]
+
+
 CHECK_CONFIGURATION = typed(ConfigurationDocument)
 CHECK_PATCH = typed(PatchDocument)
 CHECK_INSTANCE = typed(InstanceDocument)
+CHECK_LEADERSHIP = typed(LeadershipDocument)
 
 
 def _refuse_constant(constant: str) -> Any:
--- a/ochrespan/control_plane/orders.py
+++ b/ochrespan/control_plane/orders.py
@@ -9,6 +9,7 @@
 
 from ..transport.codec import MessageError, decode, encode, message
 from . import compact
+from .change_history import ChangeHistory, record_of_change
 from .checking import CheckFailed, Finding
 from .configuration import Configuration, ConfigurationChange, change_of_patch, change_to
 from .views import Tenant, tenant_view
@@ -27,12 +28,16 @@
 @message("cp.order")
 @dataclass(slots=True)
 class Order:
-    """A change of the configuration on top of version `builds_on`. The body is packed by `compact`."""
+    """A change of the configuration on top of version `builds_on`. The body is packed by `compact`.
+
+    `received_ms` is shown in the history and is no part of the digest: the same change may come at another time.
+    """
 
     kind: str
     builds_on: int
     digest: bytes
     body: bytes
+    received_ms: int = 0
 
 
 class Judgement(enum.Enum):
@@ -54,7 +59,7 @@
     change: ConfigurationChange | None = None
 
 
-def make_order(kind: OrderKind, builds_on: int, document: dict[str, Any]) -> Order:
+def make_order(kind: OrderKind, builds_on: int, document: dict[str, Any], received_ms: int = 0) -> Order:
     """The order for a checked document; the same document makes the same order, however its fields are ordered."""
     try:
         body = compact.pack_sorted(document)
@@ -63,7 +68,7 @@
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
     digest.update(f"{kind.value} {builds_on} ".encode())
     digest.update(body)
-    return Order(kind.value, builds_on, digest.digest(), compact.compress(body))
+    return Order(kind.value, builds_on, digest.digest(), compact.compress(body), received_ms)
 
 
 class ConfigurationMachine:
@@ -71,6 +76,7 @@
 
     def __init__(self) -> None:
         self.current = Configuration()
+        self.history = ChangeHistory()
         self._taken: dict[bytes, int] = {}  # version by digest, oldest first
 
     def apply(self, index: int, command: bytes) -> Verdict:
@@ -90,14 +96,15 @@
 
     def snapshot(self) -> bytes:
         """The whole state, compressed."""
-        return compact.pack([self.current.document(), list(self._taken.items())])
+        return compact.pack([self.current.document(), list(self._taken.items()), self.history.fields()])
 
     def restore(self, data: bytes) -> None:
         """Takes over the state of a snapshot."""
-        document, taken = compact.unpack(data)
+        document, taken, *history = compact.unpack(data)  # snapshots of earlier versions lack the history
         empty = Configuration()
         self.current = empty.changed_by(change_to(empty, document)) if document["generation"] else empty
         self._taken = dict(taken)
+        self.history = ChangeHistory(history[0] if history else ())
 
     def _judge(self, order: Order) -> Verdict:
         if (version := self._taken.get(order.digest)) is not None:
@@ -111,6 +118,7 @@
         except CheckFailed as error:
             return self._refuse(*error.findings)
         self._remember(order.digest, change.version)
+        self.history.add(record_of_change(change, order.builds_on, order.kind, order.received_ms))
         return Verdict(Judgement.TAKEN, change.version, change=change)
 
     def _refuse(self, *findings: Finding) -> Verdict:
--- a/ochrespan/control_plane/owners.py
+++ b/ochrespan/control_plane/owners.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from time import monotonic
 from typing import Any, Protocol
@@ -61,6 +61,10 @@
 
     def voters(self, shard: int) -> set[Address]: ...
 
+    def decline_leadership(self, span_s: float) -> None: ...
+
+    def declines_leadership_for(self) -> float: ...
+
 
 def applied_offsets(groups: ReplicaGroups) -> dict[int, int]:
     """Up to where this process has applied the log of each shard."""
@@ -73,6 +77,12 @@
     """Asks for the newest configuration."""
 
 
+@message("cp.history")
+@dataclass(slots=True)
+class ReadHistory:
+    """Asks for the latest changes of the configuration."""
+
+
 @message("cp.report")
 @dataclass(slots=True)
 class InstanceReport:
@@ -116,11 +126,18 @@
 
     def read(self, request: ReadConfiguration) -> Answer:
         """The newest configuration, as confirmed with a majority."""
+        return self._confirmed(lambda: self._machine.current.document())
+
+    def history(self, request: ReadHistory) -> Answer:
+        """The latest changes, oldest first, as confirmed with a majority."""
+        return self._confirmed(lambda: {"changes": self._machine.history.fields()})
+
+    def _confirmed(self, document: Callable[[], dict[str, Any]]) -> Answer:
         try:
             self._groups.read_barrier(CONFIG_SHARD, CALL_TIMEOUT_S)
         except NoVerdict as error:
             return unavailable("configuration", str(error) or "no majority in time")
-        return json_answer(OK, self._machine.current.document())
+        return json_answer(OK, document())
 
 
 class InstanceOwner:
--- a/ochrespan/control_plane/replica_host.py
+++ b/ochrespan/control_plane/replica_host.py
@@ -24,6 +24,7 @@
 from .peer_links import PeerLinks
 from .raft_wire import RaftBatch, pack_envelope, pack_image, pack_record, replay, unpack_envelope, unpack_image
 from .replica_types import HostSettings, NotLeader, NoVerdict, StateMachine
+from .willingness import Willingness
 
 __all__ = ["HostSettings", "NoVerdict", "NotLeader", "ReplicaHost", "StateMachine"]
 
@@ -50,6 +51,7 @@
         self._links = PeerLinks()
         self._peers: dict[Connection, Address] = {}
         self._leading: set[int] = set()
+        self._willingness = Willingness()
         self._wake = Event()
         self._greenlets: list[gevent.Greenlet] = []
         self._stopping = False
@@ -139,6 +141,14 @@
     def is_leader(self, shard: int) -> bool:
         return self._table is not None and self._table.replicas[shard].is_leader
 
+    def decline_leadership(self, span_s: float) -> None:
+        """Hands over what this process leads, and leads nothing for so long, as long as others lead; 0 ends that."""
+        self._willingness.decline(time.monotonic(), span_s)
+
+    def declines_leadership_for(self) -> float:
+        """Seconds for which `decline_leadership` still holds."""
+        return self._willingness.declines_for(time.monotonic())
+
     def leader_since(self, shard: int) -> float | None:
         """By the steady clock, since when this process leads the shard."""
         return self._table.replicas[shard].core.leader_since if self._table else None
@@ -213,7 +223,7 @@
         maintain_at = 0.0
         while True:
             now = time.monotonic()
-            self._judge_disk(now)
+            self._judge_willingness(now)
             self._table.tick(now)
             self._wake.set()
             if now >= maintain_at:
@@ -232,12 +242,13 @@
                 self._links.send(address, pack_envelope(envelope))
             self._disk.wake()
 
-    def _judge_disk(self, now: float) -> None:
-        slow = self._disk.pending_for > SLOW_DISK_S or self._disk.failed
+    def _judge_willingness(self, now: float) -> None:
+        disk_in_trouble = self._disk.pending_for > SLOW_DISK_S or self._disk.failed
+        has_leaders = all(replica.leader is not None for replica in self._table.replicas.values())
+        abstains = self._willingness.abstains(now, disk_in_trouble, has_leaders)
         replica = next(iter(self._table.replicas.values()))
-        if slow != replica.core.abstaining:
-            log.warning("disk in trouble, handing over" if slow else "disk keeps up again")
-            self._table.abstain(now, slow)
+        if abstains != replica.core.abstaining:
+            self._table.abstain(now, abstains)
 
     def _note_leadership(self, shard: int, leads: bool) -> None:
         if leads != (shard in self._leading):
--- a/ochrespan/data_plane/readiness.py
+++ b/ochrespan/data_plane/readiness.py
@@ -1,35 +1,84 @@
-"""The platform's question whether this router wants new connections, and the router's figures for collectors."""
+"""The platform's question whether this router wants new connections, an operator's drain, and the figures."""
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable, Iterable
-from typing import Any
+from http import HTTPStatus
+from typing import Any, TypedDict
 
 from gevent.pywsgi import WSGIServer
 
+from ..control_plane.checking import CheckFailed, Finding, Findings, flag
 from ..observability.registry import CONTENT_TYPE, Registry
 from .own_answers import OwnAnswer, StartResponse
 
 READY_PATH = "/api/readyz"
 FIGURES_PATH = "/api/metrics"
+READINESS_PATH = "/api/readiness"
+MAX_BODY_BYTES = 1024
+
+Environment = dict[str, Any]
+
+
+class Readiness(TypedDict):
+    """What an operator sends to READINESS_PATH."""
+
+    drained: bool
 
 
 class ReadinessServer(WSGIServer):
     """Answers 200 while `is_ready` says so, else 503. The library's own handler does for a question a second."""
 
-    def __init__(self, listener: Any, is_ready: Callable[[], bool], registry: Registry) -> None:
+    def __init__(
+        self, listener: Any, is_ready: Callable[[], bool], set_drained: Callable[[bool], None], registry: Registry
+    ) -> None:
         environment = {"SERVER_NAME": "router"}  # else the library would look the name up
         super().__init__(listener, self._respond, log=None, error_log=None, environ=environment)
         self._is_ready = is_ready
+        self._set_drained = set_drained
         self._registry = registry
 
-    def _respond(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+    def _respond(self, environ: Environment, start_response: StartResponse) -> Iterable[bytes]:
         asked = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        if asked == ("GET", READY_PATH):
+            answer = OwnAnswer(200, "ready") if self._is_ready() else OwnAnswer(503, "not ready")
+            return answer.respond(start_response)
         if asked == ("GET", FIGURES_PATH):
-            body = self._registry.render().encode()
-            start_response("200 OK", [("Content-Type", CONTENT_TYPE), ("Content-Length", str(len(body)))])
-            return [body]
-        if asked != ("GET", READY_PATH):
-            return OwnAnswer(404, f"found nothing, allowed GET {READY_PATH}, {FIGURES_PATH}").respond(start_response)
-        answer = OwnAnswer(200, "ready") if self._is_ready() else OwnAnswer(503, "not ready")
-        return answer.respond(start_response)
+            return _respond_with(start_response, HTTPStatus.OK, CONTENT_TYPE, self._registry.render())
+        if asked == ("PUT", READINESS_PATH):
+            return self._change(environ, start_response)
+        allowed = f"GET {READY_PATH}, GET {FIGURES_PATH}, PUT {READINESS_PATH}"
+        return OwnAnswer(404, f"found nothing, allowed {allowed}").respond(start_response)
+
+    def _change(self, environ: Environment, start_response: StartResponse) -> Iterable[bytes]:
+        try:
+            wanted = _read_readiness(environ)
+        except CheckFailed as error:
+            listed = [{"where": each.where, "found": each.found, "allowed": each.allowed} for each in error.findings]
+            return _respond_with_json(start_response, HTTPStatus.BAD_REQUEST, {"findings": listed})
+        self._set_drained(wanted["drained"])
+        return _respond_with_json(start_response, HTTPStatus.OK, wanted)
+
+
+def _read_readiness(environ: Environment) -> Readiness:
+    body = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
+    try:
+        document = json.loads(body) if len(body) <= MAX_BODY_BYTES else None
+    except ValueError as error:
+        raise CheckFailed([Finding("body", str(error), "a whole JSON document")]) from error
+    findings: Findings = []
+    flag(document.get("drained") if isinstance(document, dict) else None, "drained", findings)
+    if findings:
+        raise CheckFailed(findings)
+    return Readiness(drained=document["drained"])
+
+
+def _respond_with_json(start_response: StartResponse, status: HTTPStatus, document: Any) -> Iterable[bytes]:
+    return _respond_with(start_response, status, "application/json", json.dumps(document))
+
+
+def _respond_with(start_response: StartResponse, status: HTTPStatus, kind: str, text: str) -> Iterable[bytes]:
+    body = text.encode()
+    start_response(f"{status.value} {status.phrase}", [("Content-Type", kind), ("Content-Length", str(len(body)))])
+    return [body]
--- a/ochrespan/data_plane/router_node.py
+++ b/ochrespan/data_plane/router_node.py
@@ -88,8 +88,9 @@
         self._pools = ServerPools(deadlines)
         self._front = Front(ExchangeTools(self._dispatcher, self._pools, deadlines), table_is_fresh, quotas, homes)
         self.ingress = IngressServer(front, self._front, deadlines, limits.client_connections, limits.body_bytes)
-        self._readiness = ReadinessServer(ready, self.is_ready, registry)
+        self._readiness = ReadinessServer(ready, self.is_ready, self.set_drained, registry)
         self._stopping = False
+        self._drained = False
         self._version = 0
         self._add_gauges(registry)
 
@@ -108,8 +109,14 @@
         log.info("listening front=%s:%d", *self.ingress.address[:2])
 
     def is_ready(self) -> bool:
-        """Whether new connections are welcome: with a table, until the process is told to stop."""
-        return self._front.table is not None and not self._stopping
+        """Whether new connections are welcome: with a table, not drained, until the process is told to stop."""
+        return self._front.table is not None and not self._drained and not self._stopping
+
+    def set_drained(self, drained: bool) -> None:
+        """An operator wants no new connections here, or wants them again; the present ones are served on."""
+        if drained != self._drained:
+            self._drained = drained
+            log.info("drained by an operator" if drained else "activated by an operator")
 
     def table_changed(self, table: FleetTable, change: FleetChange) -> None:
         """Takes over a new table."""
--- a/ochrespan/programs/fleet_reports.py
+++ b/ochrespan/programs/fleet_reports.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Iterable, Sequence
+from datetime import UTC, datetime
 from difflib import unified_diff
 from typing import Any
 
@@ -27,6 +28,8 @@
         f"controller {status['node']} in {status['zone']}: configuration version {status['version']}, "
         f"{len(status['routers'])} routers, {len(status['instances'])} instances"
     )
+    if status["declines_leadership_for_s"]:
+        head += f"; it leads nothing for {status['declines_leadership_for_s']:g} s more"
     return head + "\n" + table(("shard", "leader", "majority known", "offset"), shards)
 
 
@@ -45,6 +48,24 @@
     return table(("service", *columns[1:]), rows)
 
 
+def history_report(changes: Iterable[dict[str, Any]]) -> str:
+    """The changes of the configuration, one a line."""
+    rows = [
+        (each["version"], each["builds_on"], _time_of(each["received_ms"]), each["kind"], _counts_of(each["changed"]))
+        for each in changes
+    ]
+    return table(("version", "on top of", "received", "kind", "changed"), rows)
+
+
+def _time_of(unix_ms: int) -> str:
+    return datetime.fromtimestamp(unix_ms / 1000, UTC).strftime("%Y-%m-%d %H:%M:%S") if unix_ms else "unknown"
+
+
+def _counts_of(changed: dict[str, Sequence[int]]) -> str:
+    parts = [f"{name} +{upserted} -{deleted}" for name, (upserted, deleted) in changed.items()]
+    return ", ".join(parts) or "limits or nothing"
+
+
 def difference_report(current: dict[str, Any], wanted: dict[str, Any]) -> str:
     """What a change from one configuration to another does, item by item; empty where they are the same."""
     change = change_to(_as_configuration(current), wanted)
--- a/ochrespan/programs/fleetctl.py
+++ b/ochrespan/programs/fleetctl.py
@@ -1,7 +1,7 @@
 """The operator's command line: `python3 -m ochrespan.programs.fleetctl COMMAND`.
 
-Every command takes `--controllers IP:PORT ...`, the control addresses of one or more controllers; without it they are
-the seeds of the settings file that OCHRESPAN_SETTINGS names.
+Every command of the fleet takes `--controllers IP:PORT ...`, the control addresses of one or more controllers; without
+it they are the seeds of the settings file that OCHRESPAN_SETTINGS names.
 """
 
 from __future__ import annotations
@@ -9,29 +9,25 @@
 import json
 import sys
 from pathlib import Path
-from typing import Any
 
 import defopt
-from returns.result import Result, Success
 
-from ..control_plane.checking import CheckFailed, Finding
-from ..control_plane.configuration import Configuration, change_to
-from ..control_plane.documents import CHECK_CONFIGURATION, read_json
-from ..transport.tcp import Address, parse_address
+from ..control_plane.checking import CheckFailed
 from . import fleet_reports
-from .control_client import CallError, ControlClient, is_undecided
-from .settings import read_settings, settings_path
-
-EXIT_FAILED = 1
-EXIT_UNDECIDED = 3
-
-
-class CommandFailed(Exception):
-    """A command has no result; `code` is the exit status."""
-
-    def __init__(self, text: str, code: int = EXIT_FAILED) -> None:
-        super().__init__(text)
-        self.code = code
+from .command_tools import (
+    EXIT_FAILED,
+    CommandFailed,
+    client_for,
+    client_of,
+    current_configuration,
+    fleet_status,
+    read_configuration,
+    value_of,
+)
+from .settings import read_settings
+from .state_commands import backup, drain_instance, restore
+
+HAND_OVER_S = 600.0
 
 
 def status(*, controllers: list[str] | None = None) -> str:
@@ -39,7 +35,7 @@
 
     :param controllers: control addresses to ask, in turn
     """
-    return fleet_reports.status_report(_status(controllers))
+    return fleet_reports.status_report(fleet_status(controllers))
 
 
 def members(*, controllers: list[str] | None = None) -> str:
@@ -47,7 +43,7 @@
 
     :param controllers: control addresses to ask, in turn
     """
-    return fleet_reports.members_report(_status(controllers))
+    return fleet_reports.members_report(fleet_status(controllers))
 
 
 def instances(*, service: str = "", controllers: list[str] | None = None) -> str:
@@ -56,7 +52,7 @@
     :param service: only those of this service
     :param controllers: control addresses to ask, in turn
     """
-    return fleet_reports.instances_report(_status(controllers), service)
+    return fleet_reports.instances_report(fleet_status(controllers), service)
 
 
 def show(*, controllers: list[str] | None = None) -> str:
@@ -64,7 +60,17 @@
 
     :param controllers: control addresses to ask, in turn
     """
-    return json.dumps(_current(_client(controllers)), indent=2)
+    return json.dumps(current_configuration(client_for(controllers)), indent=2)
+
+
+def history(*, last: int = 20, controllers: list[str] | None = None) -> str:
+    """Show the latest changes of the configuration, the newest last.
+
+    :param last: how many
+    :param controllers: control addresses to ask, in turn
+    """
+    changes = value_of(client_for(controllers).get("/api/config/history"))["changes"]
+    return fleet_reports.history_report(changes[-last:] if last > 0 else [])
 
 
 def check(file: Path) -> str:
@@ -72,7 +78,7 @@
 
     :param file: the configuration as JSON
     """
-    document = _read(file)
+    document = read_configuration(file)
     return f"{file}: valid, version {document['generation']}, {len(document['routes'])} routes"
 
 
@@ -82,7 +88,8 @@
     :param file: the configuration as JSON
     :param controllers: control addresses to ask, in turn
     """
-    return fleet_reports.difference_report(_current(_client(controllers)), _read(file)) or "no difference"
+    current = current_configuration(client_for(controllers))
+    return fleet_reports.difference_report(current, read_configuration(file)) or "no difference"
 
 
 def apply(file: Path, *, builds_on: int | None = None, controllers: list[str] | None = None) -> str:
@@ -92,9 +99,9 @@
     :param builds_on: the version that the change was made on; without it the present one
     :param controllers: control addresses to ask, in turn
     """
-    client, document = _client(controllers), _read(file)
-    version = _current(client)["generation"] if builds_on is None else builds_on
-    taken = _value(client.put("/api/config", document, {"If-Match": str(version)}))
+    client, document = client_for(controllers), read_configuration(file)
+    version = current_configuration(client)["generation"] if builds_on is None else builds_on
+    taken = value_of(client.put("/api/config", document, {"If-Match": str(version)}))
     return f"taken: version {taken['generation']} on top of {version}"
 
 
@@ -104,23 +111,63 @@
     :param instance: the id of the server's incarnation
     :param controllers: control addresses to ask, in turn
     """
-    client = _client(controllers)
-    listed = _value(client.get("/api/status"))["instances"]
+    client = client_for(controllers)
+    listed = value_of(client.get("/api/status"))["instances"]
     record = next((each for each in listed if each["id"] == instance), None)
     if record is None:
         raise CommandFailed(f"instance: found {instance!r}, allowed one of those that `instances` shows")
-    fields = {name: value for name, value in record.items() if name != "id"}
-    report = {**fields, "state": "draining", "sequence": record["sequence"] + 1}
-    _value(client.put(f"/api/instances/{instance}", report))
+    drain_instance(client, record)
     return f"draining: {instance} of {record['backend']} at {record['address']}"
 
 
+def hand_over(controller: str, *, for_s: float = HAND_OVER_S) -> str:
+    """Make a controller hand over the shards that it leads, and lead none for a time, as long as others do.
+
+    :param controller: its control address
+    :param for_s: seconds; 0 ends an earlier hand-over
+    """
+    value_of(client_of("controller", controller).put("/api/leadership", {"decline_for_s": for_s}))
+    return f"{controller}: leads nothing for {for_s:g} s" if for_s else f"{controller}: may lead again"
+
+
+def drain_router(router: str) -> str:
+    """Make a router say that it is not ready, so that the platform sends it no new connections.
+
+    :param router: its `ready` address
+    """
+    value_of(client_of("router", router).put("/api/readiness", {"drained": True}))
+    return f"{router}: drained; what it has goes on"
+
+
+def activate_router(router: str) -> str:
+    """End the drain of a router.
+
+    :param router: its `ready` address
+    """
+    value_of(client_of("router", router).put("/api/readiness", {"drained": False}))
+    return f"{router}: takes new connections"
+
+
+def check_settings(file: Path) -> str:
+    """Check a settings file; all findings are reported together.
+
+    :param file: the settings as YAML
+    """
+    settings = read_settings(file)
+    return f"{file}: valid, {settings['node']} in {settings['zone']}"
+
+
 COMMANDS = {
     "status": status,
     "members": members,
     "instances": instances,
-    "config": {"show": show, "check": check, "diff": diff, "apply": apply},
+    "config": {"show": show, "history": history, "check": check, "diff": diff, "apply": apply},
     "drain": drain,
+    "router": {"drain": drain_router, "activate": activate_router},
+    "hand-over": hand_over,
+    "backup": backup,
+    "restore": restore,
+    "settings": {"check": check_settings},
 }
 
 
@@ -140,42 +187,5 @@
     return code
 
 
-def _client(controllers: list[str] | None) -> ControlClient:
-    return ControlClient(_addresses(controllers or read_settings(settings_path())["seeds"]))
-
-
-def _addresses(texts: list[str]) -> list[Address]:
-    try:
-        return [parse_address(text) for text in texts]
-    except ValueError as error:
-        raise CheckFailed([Finding("--controllers", str(error), "IP:PORT ...")]) from error
-
-
-def _status(controllers: list[str] | None) -> dict[str, Any]:
-    return _value(_client(controllers).get("/api/status"))
-
-
-def _current(client: ControlClient) -> dict[str, Any]:
-    return _value(client.get("/api/config"))
-
-
-def _read(file: Path) -> dict[str, Any]:
-    try:
-        document = read_json(file.read_bytes(), CHECK_CONFIGURATION)
-    except OSError as error:
-        raise CheckFailed([Finding(str(file), str(error.strerror), "a readable file")]) from error
-    Configuration().changed_by(change_to(Configuration(), document))
-    return document
-
-
-def _value(result: Result[Any, CallError]) -> Any:
-    if isinstance(result, Success):
-        return result.unwrap()
-    error = result.failure()
-    undecided = is_undecided(error)
-    text = f"{error}\n  no verdict: the call may or may not have been carried out" if undecided else str(error)
-    raise CommandFailed(text, EXIT_UNDECIDED if undecided else EXIT_FAILED)
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/control_plane_fakes.py
+++ b/tests/control_plane_fakes.py
@@ -34,6 +34,7 @@
         self.on_restored: list[Callable[[int], None]] = []
         self.on_leadership: list[Callable[[int, bool], None]] = []
         self.lose_verdicts_after_commit = 0
+        self.declined_for = 0.0
         self.lose_commands = 0
         self.call_server = CallServer(("127.0.0.1", 0))
         self.call_server.start()
@@ -102,5 +103,16 @@
     def voters(self, shard: int) -> set[Address]:
         return set(self.log.members)
 
+    def decline_leadership(self, span_s: float) -> None:
+        self.declined_for = span_s
+        others = [address for address in self.log.members if address != self.address]
+        if span_s and others:
+            led = [shard for shard in ALL_SHARDS if self.is_leader(shard)]
+            if led:
+                self.log.members[others[0]].lead(*led)
+
+    def declines_leadership_for(self) -> float:
+        return self.declined_for
+
     def stop(self) -> None:
         self.call_server.stop()
--- a/tests/test_fleetctl.py
+++ b/tests/test_fleetctl.py
@@ -4,7 +4,11 @@
 
 import pytest
 
+from ochrespan.control_plane import api
+from ochrespan.control_plane.checking import CheckFailed
+from ochrespan.coordination.shards import ALL_SHARDS
 from ochrespan.programs import control_client, fleetctl
+from ochrespan.programs.backup import Backup, read_backup, write_backup
 from tests.control_plane_world import World, configuration, instance, route, service, tenant
 
 
@@ -96,3 +100,91 @@
 def test_a_malformed_address_is_refused(capsys):
     assert fleetctl.main(["status", "--controllers", "nowhere"]) == 1
     assert "IP:PORT" in capsys.readouterr().err
+
+
+def test_the_history_names_each_change(run, world, write, monkeypatch, snapshot):
+    monkeypatch.setattr(api.time, "time_ns", lambda: 1_770_000_000_000_000_000)
+    assert run("config", "apply", write(configuration(5, route("r1"), route("r2"))))[0] == 0
+    assert world.controllers[1].patch_config({"generation": 7, "delete": {"routes": ["r2"]}}, 5)[0] == 200
+    limits = {"generation": 9, "upsert": {"limits": {"max_body_bytes": 7}}}
+    assert world.controllers[0].patch_config(limits, 7)[0] == 200
+    assert world.controllers[0].put_config(configuration(6), 5)[0] == 412  # refused: it has no place there
+    assert run("config", "history") == (0, snapshot)
+    assert run("config", "history", "--last", 1)[1].count("\n") == 1
+    assert run("config", "history", "--last", 0)[1].count("\n") == 0
+
+
+def test_a_controller_hands_over_and_may_lead_again(run, world, capsys):
+    first, second = world.controllers
+    address = f"127.0.0.1:{first.http.server_port}"
+    assert fleetctl.main(["hand-over", address, "--for-s", "60"]) == 0
+    assert "leads nothing for 60 s" in capsys.readouterr().out
+    assert not any(first.groups.is_leader(shard) for shard in ALL_SHARDS)
+    assert "leads nothing for 60 s more" in run("status")[1]
+    assert fleetctl.main(["hand-over", address, "--for-s", "0"]) == 0
+    assert "may lead again" in capsys.readouterr().out
+    assert first.call("PUT", "/api/leadership", {"decline_for_s": -1})[0] == 400
+    assert first.call("PUT", "/api/leadership", b"{cut")[0] == 400
+
+
+def test_a_backup_is_restored_with_its_drains(run, world, write, tmp_path, snapshot):
+    file = tmp_path / "fleet.backup"
+    first = configuration(5, route("r1"), route("r2"), tenants=[tenant("t", "k")])
+    run("config", "apply", write(first))
+    world.controllers[0].put_instance("i-1", instance(1))
+    world.controllers[0].put_instance("i-2", instance(1, backend="ledger", address="10.0.0.8:1"))
+    run("drain", "i-2")
+    assert run("backup", file) == (0, f"{file}: version 5, 2 servers")
+    run("config", "apply", write(configuration(8, route("r1", timeout_ms=5))))
+    code, text = run("restore", file, "--dry-run")
+    assert code == 0 and text.splitlines()[:-1] == snapshot
+    assert "nothing was changed" in text and world.controllers[0].call("GET", "/api/config")[1]["generation"] == 8
+    code, text = run("restore", file)
+    assert code == 0 and text.endswith("taken: version 9 on top of 8")
+    assert world.controllers[0].call("GET", "/api/config")[1] == first | {"generation": 9}
+    assert "no difference of the configuration" in run("restore", file)[1]
+
+
+def test_a_new_fleet_takes_version_and_drains_of_a_backup(run, world, tmp_path):
+    file = tmp_path / "fleet.backup"
+    drained = {"id": "i-1", **instance(4, state="draining")}
+    write_backup(file, Backup("2026-12-02T07:00:00+00:00", configuration(40), [drained]))
+    world.controllers[0].put_instance("i-1", instance(5))
+    code, text = run("restore", file)
+    assert code == 0 and "taken: version 40 on top of 0" in text and "drain i-1" in text
+    assert states(world) == {"i-1": "draining"}
+
+
+@pytest.mark.parametrize("text", ["{cut", "[]", "{}", '{"format": "another"}'])
+def test_a_file_that_is_no_backup_is_refused_with_its_place(run, write, text):
+    path = write(text, "spoilt.backup")
+    code, printed = run("restore", path)
+    assert code == 1 and str(path) in printed and "allowed" in printed
+
+
+def test_a_backup_that_was_changed_or_cut_is_refused(tmp_path):
+    file = tmp_path / "fleet.backup"
+    write_backup(file, Backup("2026-12-02T07:00:00+00:00", configuration(40), []))
+    assert read_backup(file).configuration == configuration(40)
+    whole = file.read_text()
+    other_format = whole.replace('"format_version": 1', '"format_version": 2')
+    for spoilt in (whole.replace("40", "41", 1), other_format, whole[:-9]):
+        file.write_text(spoilt)
+        with pytest.raises(CheckFailed):
+            read_backup(file)
+    invalid = configuration(40, route("r1", timeout_ms=0))
+    write_backup(file, Backup("2026-12-02T07:00:00+00:00", invalid, []))
+    with pytest.raises(CheckFailed, match="timeout_ms"):
+        read_backup(file)
+    assert [path.name for path in tmp_path.iterdir()] == ["fleet.backup"]
+
+
+def test_settings_are_checked_with_all_findings_at_once(tmp_path, capsys):
+    file = tmp_path / "node.yaml"
+    file.write_text("node: core-1\nip: 10.0.0.1\nzone: a\nport_range: [9, 3]\nseeds: [nowhere]\nlisten: {}\n")
+    assert fleetctl.main(["settings", "check", str(file)]) == 1
+    found = capsys.readouterr().err
+    assert "port_range" in found and "seeds[0]" in found
+    file.write_text("node: core-1\nip: 10.0.0.1\nzone: a\nport_range: [3, 9]\nseeds: ['10.0.0.1:5']\nlisten: {}\n")
+    assert fleetctl.main(["settings", "check", str(file)]) == 0
+    assert "valid, core-1 in a" in capsys.readouterr().out
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ochrespan.control_plane import orders
+from ochrespan.control_plane import change_history, compact, orders
 from ochrespan.control_plane.orders import ConfigurationMachine, Judgement, OrderKind, encode_order, make_order
 from tests.control_plane_world import World, configuration, route
 
@@ -66,11 +66,28 @@
     assert restored.current == machine.current
     assert judgements(restored, whole(3, 0, route("a"), route("b")), whole(9, 3)) == [
         Judgement.TAKEN_BEFORE, Judgement.OTHER_VERSION]
+    assert [each["version"] for each in restored.history.fields()] == [3, 4]
     empty = ConfigurationMachine()
     empty.restore(ConfigurationMachine().snapshot())
     assert empty.current.version == 0
 
 
+def test_a_snapshot_of_a_version_without_history_is_read():
+    machine, restored = ConfigurationMachine(), ConfigurationMachine()
+    judgements(machine, whole(3, 0))
+    restored.restore(compact.pack(compact.unpack(machine.snapshot())[:2]))
+    assert restored.current == machine.current and restored.history.fields() == []
+
+
+def test_the_history_is_bounded_and_the_same_order_at_another_time_is_the_same_order(monkeypatch):
+    monkeypatch.setattr(change_history, "REMEMBERED_CHANGES", 3)
+    machine = ConfigurationMachine()
+    judgements(machine, *(whole(version, version - 1) for version in range(1, 6)))
+    assert [each["version"] for each in machine.history.fields()] == [3, 4, 5]
+    document = configuration(3)
+    assert make_order(OrderKind.WHOLE, 0, document, 7).digest == make_order(OrderKind.WHOLE, 0, document, 8).digest
+
+
 def test_the_memory_of_orders_is_bounded_and_drops_the_oldest(monkeypatch):
     monkeypatch.setattr(orders, "REMEMBERED_ORDERS", 3)
     machine = ConfigurationMachine()
--- a/tests/test_replica_host.py
+++ b/tests/test_replica_host.py
@@ -83,3 +83,28 @@
     propose(hosts.values(), 0, b"worse")
     propose(hosts.values(), 0, b"good")
     until(lambda: all(commands(host, 0)[-1:] == [b"good"] for host in hosts.values()), "last command everywhere")
+
+
+def test_a_host_that_declines_leadership_hands_over_and_stays_a_voter(core):
+    _, _, hosts = core
+    for shard in (0, 1, 2):
+        leader_of(hosts.values(), shard)
+    declining = leader_of(hosts.values(), 0)
+    others = [host for host in hosts.values() if host is not declining]
+    declining.decline_leadership(600.0)
+    until(lambda: not any(declining.is_leader(shard) for shard in (0, 1, 2)), "hand-over")
+    for shard in (0, 1, 2):
+        leader_of(others, shard)
+    propose(hosts.values(), 0, b"one")
+    until(lambda: commands(declining, 0) == [b"one"], "command at the host that declines")
+    declining.decline_leadership(0.0)
+    assert declining.declines_leadership_for() == 0.0
+
+
+def test_hosts_that_all_decline_leadership_lead_all_the_same(core):
+    _, _, hosts = core
+    leader_of(hosts.values(), 0)
+    for host in hosts.values():
+        host.decline_leadership(600.0)
+    until(lambda: any(host.declines_leadership_for() == 0.0 for host in hosts.values()), "a host that gives way")
+    assert propose(hosts.values(), 0, b"one")
--- a/tests/test_router_process.py
+++ b/tests/test_router_process.py
@@ -10,6 +10,7 @@
 from gevent import socket, subprocess
 from gevent.event import Event
 
+from ochrespan.programs import fleetctl
 from tests.control_plane_world import World, configuration, instance, route
 from tests.fleet_standins import Client, StandInServer, answer, close, event, stream, unused_address
 
@@ -56,6 +57,13 @@
         client.close()
         return status == 200
 
+    def put_readiness(self, body: bytes) -> int:
+        client = Client(self.ready)
+        client.send(b"PUT /api/readiness HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        status = client.read_answer().status
+        client.close()
+        return status
+
     def figures(self) -> str:
         client = Client(self.ready)
         client.send(b"GET /api/metrics HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -232,3 +240,22 @@
     assert 'ochrespan_router_decisions_total{decision="send"} 1' in figures
     assert 'ochrespan_router_attempts_total{outcome="done"} 1' in figures
     assert "ochrespan_configuration_version 1" in figures and "ochrespan_router_ready 1" in figures
+
+
+def test_an_operators_drain_ends_readiness_alone_and_can_be_ended(world, start, capsys):
+    server = StandInServer(answer(b"hi"), answer(b"hi"))
+    router = start()
+    register(world, server)
+    configure(world)
+    router.wait_for("configuration in force")
+    client, address = router.client(), "%s:%d" % router.ready
+    assert fleetctl.main(["router", "drain", address]) == 0
+    assert not router.is_ready()
+    client.ask("/plain/x", id="q1")
+    assert client.read_answer().body == b"hi"  # what is connected is served on
+    for bad in (b"{cut", b"[]", b'{"drained": 1}', b"{}", b"x" * 2000):
+        assert router.put_readiness(bad) == 400
+    assert not router.is_ready()
+    assert fleetctl.main(["router", "activate", address]) == 0
+    assert router.is_ready()
+    assert "takes new connections" in capsys.readouterr().out
