A router opens its clients' address before it loads, and holds what comes for its first table

Change: programs/router.py reads the address from the settings, listens, and only then loads the rest (router_process.py); the accept queue holds what comes. A request that comes before the first table waits up to 0.1 s for it, then is refused as before. Way not taken: loading less. Tests: the socket, each kind of settings without an address, another address, a request before and without a table.

--- a/ochrespan/data_plane/front.py
+++ b/ochrespan/data_plane/front.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Any, Protocol
 
+from gevent.event import Event
+
 from ..control_plane.quota_client import cost_of
 from .client_connection import ClientConnection, ReadLimits
 from .decisions import Request
@@ -27,6 +29,7 @@
 
 CONNECTION_KEY, HEAD_KEY = "ochrespan.connection", "ochrespan.head"  # in the WSGI environment
 DEFAULT_LIMITS = ReadLimits(16 * 1024, 4 * 1024 * 1024, 3.0, 15.0)
+FIRST_TABLE_WAIT_S = 0.1  # for which a request that comes before the first table waits for it
 NOT_READY_RETRY_AFTER_S = 1.0
 STALE_RETRY_AFTER_S = 0.5
 LEAST_SHARED_TOKENS = 1000  # of a prompt: shorter ones are soon read anywhere
@@ -62,6 +65,12 @@
         self._tickets = TicketDesk(quotas) if quotas is not None else None
         self._numbers = itertools.count(1)
         self.table: RoutingTable | None = None
+        self._first_table = Event()
+
+    def set_first_table(self, table: RoutingTable) -> None:
+        """From now on requests are served; those that came just before have waited for this."""
+        self.table = table
+        self._first_table.set()
 
     @property
     def limits(self) -> ReadLimits:
@@ -77,6 +86,8 @@
         return found.respond(start_response)
 
     def _admit(self, client: ClientConnection, head: RequestHead, body: bytes, arrived: float) -> Exchange | OwnAnswer:
+        if self.table is None:
+            self._first_table.wait(FIRST_TABLE_WAIT_S)
         table = self.table
         request_id = _only_value(head, "x-request-id")
         if request_id is None:
--- a/ochrespan/data_plane/ingress.py
+++ b/ochrespan/data_plane/ingress.py
@@ -193,7 +193,8 @@
         self, listener: Any, front: Front, deadlines: DeadlineHeap, max_connections: int, max_body_bytes: int
     ) -> None:
         environment = {"SERVER_NAME": "router"}  # else the library would look the name up
-        super().__init__(listener, front, log=None, error_log=None, environ=environment, backlog=BACKLOG)
+        backlog = None if isinstance(listener, socket.socket) else BACKLOG  # a socket that listens has its own
+        super().__init__(listener, front, log=None, error_log=None, environ=environment, backlog=backlog)
         self.front = front
         self.deadlines = deadlines
         self.max_connections = max_connections
--- a/ochrespan/data_plane/router_node.py
+++ b/ochrespan/data_plane/router_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import socket
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -70,11 +71,11 @@
 
 
 class RouterNode:
-    """Serves clients by the latest table that it was told of."""
+    """Serves clients by the latest table that it was told of. `front` may be a socket that listens already."""
 
     def __init__(
         self,
-        front: Address,
+        front: Address | socket.socket,
         ready: Address,
         limits: MachineLimits,
         scheduler: SchedulerLike,
@@ -122,7 +123,7 @@
         """Takes over a new table."""
         self._version = table.version
         if self._front.table is None:
-            self._front.table = RoutingTable(table.configuration)
+            self._front.set_first_table(RoutingTable(table.configuration))
         elif change.routes or change.tenants or change.limits:
             self._front.table = self._front.table.changed_to(table.configuration, change.routes, change.tenants)
         if change.version:
--- a/tests/fleet_standins.py
+++ b/tests/fleet_standins.py
@@ -289,7 +289,7 @@
             Server(f"i-{number}", "service", getattr(server, "address", server), "zone", 8)
             for number, server in enumerate(servers)
         ]
-        self.front.table = RoutingTable(view)
+        self.front.set_first_table(RoutingTable(view))
         self.pools.set_servers(listed, 1)
         self.dispatcher.set_servers(listed, 1, 0)
 
--- /dev/null
+++ b/tests/test_early_listener.py
@@ -0,0 +1,68 @@
+"""A router's address takes connections before the router is loaded, and requests before its first table."""
+
+import socket
+
+import pytest
+import yaml
+
+from ochrespan.data_plane import front as front_module
+from ochrespan.programs.early_listener import SETTINGS_VARIABLE, open_front
+from ochrespan.programs.router_process import _listener_at
+from tests.fleet_standins import StandInServer, answer, configuration, route, router, unused_address
+
+
+def settings_file(tmp_path, monkeypatch, text: str) -> None:
+    path = tmp_path / "node.yaml"
+    path.write_text(text)
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+
+
+def test_connections_wait_at_the_address_of_the_settings(tmp_path, monkeypatch):
+    address = unused_address()
+    settings_file(tmp_path, monkeypatch, yaml.safe_dump({"listen": {"front": "%s:%d" % address}}))
+    listener = open_front()
+    with listener, socket.create_connection(address, timeout=5) as client:
+        client.sendall(b"GET / HTTP/1.1\r\n")
+        assert not listener.getblocking()
+        assert _listener_at(address, listener) is listener
+        assert open_front() is None  # the address is taken
+
+
+@pytest.mark.parametrize("text", [
+    "", "[]", "listen: {}", "listen: {front: 5}", "listen: {front: nowhere}", "listen: {front: '10.0.0.1:x'}",
+    "listen: {front: '999.0.0.1:80'}", "{cut", "listen: {front: '127.0.0.1:99999'}"])
+def test_settings_that_name_no_address_are_left_to_the_check_of_the_router(tmp_path, monkeypatch, text):
+    settings_file(tmp_path, monkeypatch, text)
+    assert open_front() is None
+
+
+def test_without_a_settings_file_nothing_is_opened(tmp_path, monkeypatch):
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(tmp_path / "nothing.yaml"))
+    assert open_front() is None
+    monkeypatch.delenv(SETTINGS_VARIABLE)
+    assert open_front() is None
+
+
+def test_a_socket_at_another_address_than_the_checked_settings_name_is_closed():
+    listener = socket.create_server(("127.0.0.1", 0))
+    assert _listener_at(("127.0.0.1", 1), listener) == ("127.0.0.1", 1)
+    assert listener.fileno() == -1
+    assert _listener_at(("127.0.0.1", 1), None) == ("127.0.0.1", 1)
+
+
+def test_a_request_that_comes_just_before_the_first_table_is_served(monkeypatch):
+    monkeypatch.setattr(front_module, "FIRST_TABLE_WAIT_S", 30.0)
+    with router() as made:
+        client = made.client()
+        client.ask("/a")
+        made.use(configuration(route()), StandInServer(answer(b"hi")))
+        assert client.read_answer().body == b"hi"
+
+
+def test_a_request_without_a_table_in_time_is_refused_and_told_when_to_come_back(monkeypatch):
+    monkeypatch.setattr(front_module, "FIRST_TABLE_WAIT_S", 0.01)
+    with router() as made:
+        client = made.client()
+        client.ask("/a")
+        refused = client.read_answer()
+        assert refused.status == 503 and "Retry-After" in dict(refused.headers)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -8,7 +8,7 @@
 
 
 def test_a_router_loads_neither_the_controllers_parts_nor_those_of_the_front_in_service():
-    code = "import sys, ochrespan.programs.router; print(*sys.modules, sep='\\n')"
+    code = "import sys, ochrespan.programs.router_process; print(*sys.modules, sep='\\n')"
     loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout.split()
     assert "ochrespan.data_plane.scheduler" in loaded
     assert not [name for name in loaded if name.startswith((*CONTROLLERS_PARTS, *FRONTS_PARTS))]
