Quotas at a router: only tenants that are served are kept, and follow changes when used

Change: configure() keeps the tenants and the count alone; a tenant's state is made at its first request, takes up new terms at its next, and goes after a minute without one (or twice the quota's window), when grants have expired and what was spent has left the window.

--- a/benchmarks/hollow/quotas.py
+++ b/benchmarks/hollow/quotas.py
@@ -47,9 +47,11 @@
 
 
 def client_with(tenants: dict[str, Tenant], routers: int) -> QuotaClient:
-    """A router's end of the quotas, as after its first table."""
+    """A router's end of the quotas, which has lately served every tenant."""
     client = QuotaClient("router-0", BOUNDS, lambda tenant: None, lambda address, request, timeout: None)
     client.configure(tenants, routers)
+    for name in tenants:
+        client.try_take(name, 0.0, 0.0)
     return client
 
 
--- a/ochrespan/control_plane/quota_client.py
+++ b/ochrespan/control_plane/quota_client.py
@@ -18,7 +18,7 @@
 
 from ..transport.rpc import CallFailed
 from ..transport.tcp import Address
-from .quota import SEND_DELAY_S, GrantedTokens, QuotaBounds, SureShare, terms_for
+from .quota import SEND_DELAY_S, GrantedTokens, QuotaBounds, QuotaTerms, SureShare, terms_for
 from .quota_messages import Grant, GrantRequest, NotTheOwner
 from .views import QuotaUnit, Tenant
 
@@ -34,6 +34,7 @@
 AHEAD_FROM_REQUESTS_PER_S = 10.0
 DEMAND_WEIGHT = 0.5  # of the last second, in the mean of the demand
 DEMAND_INTERVAL_S = 1.0
+IDLE_TENANT_S = 60.0  # after which nothing is kept of a tenant
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +82,8 @@
 class _TenantState:
     sure: SureShare
     demand: _Demand
+    used_at: float
+    configured: int  # the number of the configuration that its terms and share are of
     granted: GrantedTokens = field(default_factory=GrantedTokens)
     asking_ahead: bool = False
     silent_until: float = 0.0
@@ -107,23 +110,47 @@
         self._ask_at = ask_at
         self._call = call
         self._clock = clock
-        self._states: dict[str, _TenantState] = {}
+        self._tenants: Mapping[str, Tenant] = {}
+        self._router_count = 1
+        self._configured = 0
+        self._states: dict[str, _TenantState] = {}  # of tenants that were lately served
+        self._swept_at = clock()
 
     def configure(self, tenants: Mapping[str, Tenant], router_count: int) -> None:
-        """To be called when the tenants or the count of routers have changed."""
-        limited = {name: tenant for name, tenant in tenants.items() if tenant.rate_per_s > 0}
-        for name in self._states.keys() - limited.keys():
-            del self._states[name]
-        for name, tenant in limited.items():
-            terms = terms_for(tenant.rate_per_s, tenant.burst, self._bounds)
-            if name not in self._states:
-                self._states[name] = _TenantState(SureShare(terms), _Demand(self._clock()))
-            self._states[name].sure.terms = terms
-            self._states[name].sure.even_share = 1 / max(1, router_count)
+        """The tenants or the count of routers have changed. What is kept of a tenant follows at its next use."""
+        self._tenants, self._router_count = tenants, max(1, router_count)
+        self._configured += 1
+
+    def _state_of(self, name: str) -> _TenantState | None:
+        """What is kept of a tenant, under the terms in force; None where it has no limit."""
+        tenant, now = self._tenants.get(name), self._clock()
+        if tenant is None or tenant.rate_per_s <= 0:
+            self._states.pop(name, None)
+            return None
+        state = self._states.get(name)
+        if state is None:
+            self._forget_idle(now)
+            state = _TenantState(SureShare(self._terms_of(tenant)), _Demand(now), now, 0)
+            self._states[name] = state
+        if state.configured != self._configured:
+            state.configured = self._configured
+            state.sure.terms, state.sure.even_share = self._terms_of(tenant), 1 / self._router_count
+        state.used_at = now
+        return state
+
+    def _terms_of(self, tenant: Tenant) -> QuotaTerms:
+        return terms_for(tenant.rate_per_s, tenant.burst, self._bounds)
+
+    def _forget_idle(self, now: float) -> None:
+        """Grants have long expired and spending has left its window when a tenant was idle for so long."""
+        idle_s = max(IDLE_TENANT_S, 2 * self._bounds.window_s)
+        if now - self._swept_at > idle_s:
+            self._swept_at = now
+            self._states = {name: state for name, state in self._states.items() if now - state.used_at <= idle_s}
 
     def try_take(self, tenant: str, tokens: float, now: float) -> bool:
         """Takes the tokens out of the grants at hand without waiting; true for a tenant without a limit."""
-        state = self._states.get(tenant)
+        state = self._state_of(tenant)
         if state is None:
             return True
         state.demand.add(tokens, now)
@@ -140,7 +167,7 @@
 
     def renew(self, tenant: str, taken: Taken) -> Taken:
         """Takes the tokens of a request anew that has not been sent: nothing changes if they still hold."""
-        state = self._states.get(tenant)
+        state = self._state_of(tenant)
         if state is None or taken.holds(self._clock()):
             return taken
         self.release(tenant, taken)
@@ -148,7 +175,7 @@
 
     def release(self, tenant: str, taken: Taken) -> None:
         """The request was surely not sent, and will not be: its tokens go back to the owner with the next request."""
-        state = self._states.get(tenant)
+        state = self._state_of(tenant)
         if state is not None and taken.epoch is not None:
             state.granted.give_back(taken.tokens, taken.epoch)
 
@@ -161,7 +188,7 @@
         return taken if taken.allowed else replace(taken, retry_after_s=max(taken.retry_after_s, SHORTEST_RETRY_S))
 
     def _take_once(self, tenant: str, tokens: float) -> Taken:
-        state = self._states.get(tenant)
+        state = self._state_of(tenant)
         if state is None:
             return UNLIMITED  # the limit was lifted meanwhile
         grant = self._ask(tenant, state, tokens, state.demand.wanted_ahead())
@@ -174,7 +201,7 @@
         return Taken(False, NO_OWNER_RETRY_S if grant is None else grant.retry_after_s)
 
     def _taken(self, tenant: str, tokens: float, now: float) -> Taken:
-        state = self._states.get(tenant)
+        state = self._state_of(tenant)
         return UNLIMITED if state is None else Taken(True, 0.0, tokens, state.granted.epoch, now)
 
     def _ask_ahead(self, tenant: str, state: _TenantState, now: float) -> None:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -16,7 +16,7 @@
     bounds_from,
     terms_for,
 )
-from ochrespan.control_plane.quota_client import SHORTEST_RETRY_S, QuotaClient, cost_of
+from ochrespan.control_plane.quota_client import IDLE_TENANT_S, SHORTEST_RETRY_S, QuotaClient, cost_of
 from ochrespan.control_plane.quota_messages import Grant, GrantRequest, NotTheOwner
 from ochrespan.control_plane.quota_owner import LEASE_S, QuotaOwner
 from ochrespan.control_plane.views import QuotaUnit, Tenant
@@ -197,6 +197,36 @@
     assert client.take("free", 1e9).allowed and client.try_take("unknown", 1.0, 0.0)
 
 
+def test_nothing_is_kept_of_a_tenant_that_was_idle_or_lost_its_limit():
+    clock = Clock()
+    client = QuotaClient("edge-1", BOUNDS, lambda tenant: [], lambda *call: None, clock, clock.pause)
+    tenants = {name: limited(name) for name in "abc"}
+    client.configure(tenants, 2)
+    assert not client._states
+    client.take("a", 1.0)
+    client.take("b", 1.0)
+    clock.now += IDLE_TENANT_S / 2
+    client.take("b", 1.0)
+    clock.now += IDLE_TENANT_S / 2 + 1
+    client.take("c", 1.0)
+    assert set(client._states) == {"b", "c"}
+    client.configure({**tenants, "b": limited("b", rate=0.0)}, 2)
+    assert client.take("b", 1e9).allowed and set(client._states) == {"c"}
+
+
+def test_another_count_of_routers_holds_from_the_next_request_on():
+    clock = Clock()
+    client = QuotaClient("edge-1", BOUNDS, lambda tenant: [], lambda *call: None, clock, clock.pause)
+    client.configure({"t": limited()}, 1)
+    part = EVEN_PART * terms_for(limited().rate_per_s, limited().burst, BOUNDS).sure
+    assert client.take("t", 0.6 * part).allowed
+    client.configure({"t": limited()}, 4)
+    assert not client.take("t", 0.3 * part).allowed
+    client.configure({"t": limited()}, 1)
+    clock.now += 1.0
+    assert client.take("t", 0.3 * part).allowed
+
+
 def test_a_router_that_reaches_no_owner_lives_on_its_sure_share_alone():
     clock, tenant = Clock(), limited()
     fleet = Fleet(tenant, 4, clock)
