--- a/ochrespan/control_plane/home_client.py
+++ b/ochrespan/control_plane/home_client.py
@@ -2,23 +2,17 @@
 
 from __future__ import annotations
 
-import logging
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
 from time import monotonic
-from typing import Any
 
-from ..transport.rpc import CallFailed
 from ..transport.tcp import Address
 from .home_messages import Home, HomeRequest
-from .quota_messages import NotTheOwner
-
-log = logging.getLogger(__name__)
+from .owner_calls import Call, ask_owner
 
 ANSWER_TIMEOUT_S = 0.05  # a request is on its way meanwhile; without an answer it goes by a hash
 SILENT_OWNER_PAUSE_S = 0.5  # where no owner answered, none is asked again for this long
 MOST_KNOWN = 8192  # prefixes; those used longest ago are forgotten
-MOST_ASKED = 3
 
 
 class HomeClient:
@@ -27,7 +21,7 @@
     def __init__(
         self,
         ask_at: Callable[[str], Sequence[Address]],
-        call: Callable[[Address, Any, float], Any],
+        call: Call,
         is_usable: Callable[[str, str], bool],
         clock: Callable[[], float] = monotonic,
     ) -> None:
@@ -60,19 +54,6 @@
 
     def _ask(self, request: HomeRequest) -> str | None:
         """The owner's word; None where no owner answered."""
-        addresses, asked = list(self._ask_at(request.service)), set[Address]()
-        while addresses and len(asked) < MOST_ASKED:
-            address = addresses.pop(0)
-            if address in asked:
-                continue
-            asked.add(address)
-            try:
-                reply = self._call(address, request, ANSWER_TIMEOUT_S)
-            except CallFailed as error:
-                log.info("no home service=%s error=%r", request.service, str(error))
-                continue
-            if isinstance(reply, Home):
-                return reply.instance
-            if isinstance(reply, NotTheOwner) and reply.ip:
-                addresses.insert(0, (reply.ip, reply.port))
-        return None
+        about = f"service={request.service}"
+        found = ask_owner(self._call, self._ask_at(request.service), request, Home, ANSWER_TIMEOUT_S, about)
+        return None if found is None else found.instance
--- /dev/null
+++ b/ochrespan/control_plane/owner_calls.py
@@ -0,0 +1,43 @@
+"""Asking the owner of a name: the leader of its shard, as far as it is known, and who may know better."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import Any, TypeVar
+
+from ..transport.rpc import CallFailed
+from ..transport.tcp import Address
+from .quota_messages import NotTheOwner
+
+log = logging.getLogger(__name__)
+
+MOST_ASKED = 3
+
+Call = Callable[[Address, Any, float], Any]  # the reply of the process at an address; raises CallFailed
+Reply = TypeVar("Reply")
+
+
+def ask_owner(
+    call: Call, addresses: Iterable[Address], request: Any, reply_type: type[Reply], timeout: float, about: str
+) -> Reply | None:
+    """The first reply of this type. An owner that another process names is asked next, and nobody is asked twice.
+
+    `about` names the request in the log.
+    """
+    waiting, asked = list(addresses), set[Address]()
+    while waiting and len(asked) < MOST_ASKED:
+        address = waiting.pop(0)
+        if address in asked:
+            continue
+        asked.add(address)
+        try:
+            reply = call(address, request, timeout)
+        except CallFailed as error:
+            log.info("no %s %s error=%r", reply_type.__name__.lower(), about, str(error))
+            continue
+        if isinstance(reply, reply_type):
+            return reply
+        if isinstance(reply, NotTheOwner) and reply.ip:
+            waiting.insert(0, (reply.ip, reply.port))
+    return None
--- a/ochrespan/control_plane/quota_client.py
+++ b/ochrespan/control_plane/quota_client.py
@@ -8,28 +8,23 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from time import monotonic
-from typing import Any
 
 import gevent
 
-from ..transport.rpc import CallFailed
 from ..transport.tcp import Address
+from .owner_calls import Call, ask_owner
 from .quota import SEND_DELAY_S, GrantedTokens, QuotaBounds, QuotaTerms, SureShare, terms_for
-from .quota_messages import Grant, GrantRequest, NotTheOwner
+from .quota_messages import Grant, GrantRequest
 from .views import QuotaUnit, Tenant
 
-log = logging.getLogger(__name__)
-
 ANSWER_TIMEOUT_S = 0.3
 SILENT_OWNER_PAUSE_S = 0.1  # where no owner answered, none is asked again for this long
 NO_OWNER_RETRY_S = 0.5
 SHORTEST_RETRY_S = 0.4  # others wait for the same tokens, so a client that comes back at once is refused again
 LONGEST_WAIT_S = 0.12  # for tokens that the owner will have by then
-MOST_ASKED = 3
 AHEAD_S = 0.2  # of a tenant's demand is asked for ahead
 AHEAD_FROM_REQUESTS_PER_S = 10.0
 DEMAND_WEIGHT = 0.5  # of the last second, in the mean of the demand
@@ -100,7 +95,7 @@
         router: str,
         bounds: QuotaBounds,
         ask_at: Callable[[str], Sequence[Address]],
-        call: Callable[[Address, Any, float], Any],
+        call: Call,
         clock: Callable[[], float] = monotonic,
         pause: Callable[[float], None] = gevent.sleep,
     ) -> None:
@@ -223,7 +218,7 @@
             return None
         left_over = state.granted.take_left_over()
         request = GrantRequest(tenant, self._router, needed, ahead, left_over, state.granted.epoch)
-        grant = self._ask_in_turn(list(self._ask_at(tenant)), request)
+        grant = ask_owner(self._call, self._ask_at(tenant), request, Grant, ANSWER_TIMEOUT_S, f"tenant={tenant}")
         if grant is None:
             state.silent_until = self._clock() + SILENT_OWNER_PAUSE_S
             return None
@@ -231,25 +226,6 @@
         state.sure.granted(grant.tokens, asked_at)
         return grant
 
-    def _ask_in_turn(self, addresses: list[Address], request: GrantRequest) -> Grant | None:
-        """The first grant; an owner that one of them names is asked next, and nobody is asked twice."""
-        asked: set[Address] = set()
-        while addresses and len(asked) < MOST_ASKED:
-            address = addresses.pop(0)
-            if address in asked:
-                continue
-            asked.add(address)
-            try:
-                reply = self._call(address, request, ANSWER_TIMEOUT_S)
-            except CallFailed as error:
-                log.info("no grant tenant=%s error=%r", request.tenant, str(error))
-                continue
-            if isinstance(reply, Grant):
-                return reply
-            if isinstance(reply, NotTheOwner) and reply.ip:
-                addresses.insert(0, (reply.ip, reply.port))
-        return None
-
 
 def cost_of(tenant: Tenant, token_usage: tuple[float, float] | None) -> float:
     """What a request counts for: its tokens, or 1 where the tenant's quota is in requests."""
--- a/ochrespan/data_plane/connection_pool.py
+++ b/ochrespan/data_plane/connection_pool.py
@@ -7,6 +7,7 @@
 import socket
 import time
 
+from ..transport.tcp import set_options
 from .deadlines import Deadline, DeadlineHeap
 from .wakeup import Wakeup
 from .watched_socket import WatchedSocket, ignore_event
@@ -19,7 +20,6 @@
 SHORT_KEEP_ALIVE_SHARE = 0.5  # of a time-out that leaves no room for the margin
 FRESH_S = 1.0  # rest after which an unsafe request takes a new connection, where the server tells no time-out
 USER_TIMEOUT_MS = 3000  # unacknowledged data ends a connection after this long
-KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_PROBES = 1, 1, 2
 
 
 class ServerConnection:
@@ -31,7 +31,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.setblocking(False)
-            _set_options(sock)
+            set_options(sock, USER_TIMEOUT_MS)
             error = sock.connect_ex(address)
             if error not in (0, errno.EINPROGRESS):
                 raise OSError(error, "connection refused")
@@ -146,13 +146,3 @@
 def _time_to_keep(keep_alive_s: float | None) -> float:
     told = DEFAULT_KEEP_ALIVE_S if keep_alive_s is None else keep_alive_s
     return max(told - KEEP_ALIVE_MARGIN_S, told * SHORT_KEEP_ALIVE_SHARE)
-
-
-def _set_options(sock: socket.socket) -> None:
-    """Small messages leave at once, and a machine that has gone is noticed though it says nothing."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- a/ochrespan/front.py
+++ b/ochrespan/front.py
@@ -26,7 +26,8 @@
 from .lifecycle import Lifecycle, Phase
 from .net import discovery
 from .net.bodies import MOST_BODY
-from .net.chunks import ChunkClient, open_session, resize
+from .net.chunks import ChunkClient
+from .net.client_session import open_session, resize
 from .net.discovery import Directory, Watch
 from .net.http1 import Http1Server
 from .net.listener import Listener, Server
--- a/ochrespan/transport/tcp.py
+++ b/ochrespan/transport/tcp.py
@@ -45,14 +45,14 @@
     return f"{address[0]}:{address[1]}"
 
 
-def set_options(sock: socket.socket) -> None:
-    """Small messages leave at once, and a silent peer is noticed within seconds."""
+def set_options(sock: socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS) -> None:
+    """Small messages leave at once; a silent peer is noticed within seconds, unacknowledged data after the time-out."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
 class Connection:
--- a/tests/test_chunks.py
+++ b/tests/test_chunks.py
@@ -12,7 +12,8 @@
 from ochrespan.broker import Attempt, Request, Status
 from ochrespan.net import answers
 from ochrespan.net.answers import MOST_BODY
-from ochrespan.net.chunks import ChunkClient, Message, open_session
+from ochrespan.net.chunks import ChunkClient, Message
+from ochrespan.net.client_session import open_session
 from ochrespan.net.discovery import Directory
 from ochrespan.net.reports import read_load, read_units
 from ochrespan.settings import Links
