Changes of servers that come together travel and are taken up together

Change: a controller sends the first change of a shard at once and gathers those behind it for 20 ms; a router tells its parts a new table no sooner than 20 times the time after which the last one was taken up, 0.2 s at most, so that costs 5 % of a processor. At small sizes both pauses are milliseconds. Before offsets are told or a router subscribes, what was gathered is sent. Tests: gathered changes lead to the same table (property), few messages for a hundred registrations, the pause and its bound.

--- /dev/null
+++ b/ochrespan/control_plane/change_gathering.py
@@ -0,0 +1,33 @@
+"""Changes of one shard of instances that wait to be sent to the routers together. Pure."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .instances import InstanceRecord, InstancesChange
+
+
+@dataclass(slots=True)
+class ChangeGathering:
+    """The latest word on each instance that changed; None where it was removed."""
+
+    offset: int = 0  # of the latest change
+    _latest: dict[str, InstanceRecord | None] = field(default_factory=dict)
+
+    def __bool__(self) -> bool:
+        return bool(self._latest)
+
+    def add(self, offset: int, change: InstancesChange) -> None:
+        """Another change, at the next offset of the shard's log."""
+        self.offset = offset
+        for instance_id in change.removed:
+            self._latest[instance_id] = None
+        for record in change.upserted:
+            self._latest[record.id] = record
+
+    def take(self) -> InstancesChange:
+        """The change from before the first to after the latest one, and nothing waits any more."""
+        upserted = tuple(record for record in self._latest.values() if record is not None)
+        removed = tuple(instance_id for instance_id, record in self._latest.items() if record is None)
+        self._latest.clear()
+        return InstancesChange(upserted, removed)
--- a/ochrespan/control_plane/feed_client.py
+++ b/ochrespan/control_plane/feed_client.py
@@ -45,6 +45,8 @@
 LONGEST_LAG_S = 0.4
 ANOTHER_LOG_S = 4.0  # a controller whose offsets are lower for so long, and that lags behind nobody, has another log
 PATIENCE_S = 3.0  # a first table of doubtful age is taken after this long without a better one
+PUBLISH_PAUSE = 20.0  # multiple of the time that taking up a table took, before the next one is told
+LONGEST_PUBLISH_PAUSE_S = 0.2
 SHORTEST_STAY_S = 5.0  # before a move to a controller that is merely nearer
 
 OnChange = Callable[[FleetTable, FleetChange], None]
@@ -73,6 +75,8 @@
         self._members = 0  # routers that membership holds for living
         self._complete_since: float | None = None
         self._greenlet: gevent.Greenlet | None = None
+        self._publish_from = 0.0  # no table is told before
+        self._late_publish: gevent.Greenlet | None = None
 
     def start(self) -> None:
         """Begins to follow a controller."""
@@ -80,8 +84,9 @@
 
     def stop(self) -> None:
         """Ends; the table stays."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
+        for greenlet in (self._greenlet, self._late_publish):
+            if greenlet is not None:
+                greenlet.kill()
 
     def seeds_changed(self, seeds: list[Address]) -> None:
         """The settings name other seeds."""
@@ -213,19 +218,31 @@
             self._publish(_everything(self._draft))
 
     def _publish_changes(self) -> None:
-        """Tells all changes of the messages that arrived together at once."""
-        if self.table is not None and self.table is not self._draft:
+        """Tells all changes of the messages that arrived together at once, or later those of a busy time together."""
+        if self.table is None or self.table is self._draft:
+            return
+        pause = self._publish_from - monotonic()
+        if pause <= 0:
             self._publish(self._untold)
+        elif not self._late_publish:
+            self._late_publish = gevent.spawn_later(pause, self._publish_late)
+
+    def _publish_late(self) -> None:
+        self._late_publish = None
+        self._publish_changes()
 
     def _publish(self, change: FleetChange) -> None:
         self.table, self._untold = self._draft, NO_DIFFERENCE
         if self.on_change is None:
             return
+        began = monotonic()
         try:
             self.on_change(self._draft, change)
         except Exception:
             log.exception("feed change not taken version=%d", self._draft.version)
             self._untold = change  # to be told again with the next one
+        now = monotonic()
+        self._publish_from = now + min(LONGEST_PUBLISH_PAUSE_S, PUBLISH_PAUSE * (now - began))
 
 
 def _everything(table: FleetTable) -> FleetChange:
--- a/ochrespan/control_plane/feed_server.py
+++ b/ochrespan/control_plane/feed_server.py
@@ -16,6 +16,7 @@
 from ..transport.codec import encode
 from ..transport.rpc import CallServer
 from ..transport.tcp import Address, Connection, ConnectionClosed
+from .change_gathering import ChangeGathering
 from .cold_times import ColdTimes
 from .configuration import Configuration, change_to
 from .feed_messages import (
@@ -39,6 +40,7 @@
 HISTORY_BYTES = 4 * 1024 * 1024
 HISTORY_CHANGES = 4096
 SNAPSHOT_LASTS_S = 1.0
+GATHER_S = 0.02  # changes of a shard's instances that come closer together travel as one
 WAITING_INTERVAL_S = 0.04  # between messages while readers wait for a majority
 
 
@@ -51,6 +53,8 @@
     restored: bool = False  # the state has jumped, and its new offset is not known yet
     changes: deque[tuple[int, bytes]] = field(default_factory=deque)
     size: int = 0
+    gathering: ChangeGathering = field(default_factory=ChangeGathering)  # what is not among the changes yet
+    gathered_at: float = float("-inf")  # when it was last sent
 
     def add(self, offset: int, encoded: bytes) -> None:
         """Appends a change and drops the oldest ones beyond the bounds."""
@@ -64,6 +68,7 @@
     def restart(self, offset: int) -> None:
         """Forgets all changes: the state jumped to `offset`."""
         self.changes.clear()
+        self.gathering.take()
         self.size = 0
         self.start = self.last = offset
         self.restored = False
@@ -112,15 +117,37 @@
         call_server.on_push(Subscribe, self.subscribe)
 
     def applied(self, shard: int, index: int, result: Any) -> None:
-        """Sends what an applied command changed."""
+        """Sends what an applied command changed, soon: a snapshot that is about to be sent holds the change."""
         history = self._histories[shard]
         if isinstance(result, InstancesChange):
             self._cold.note(result, monotonic())
-        body = _packed_change(result)
-        if body is None or history.restored:
-            return  # a snapshot that is about to be sent holds the change
-        encoded = encode(FeedDelta(shard, history.last, index, body))
-        history.add(index, encoded)
+            if result and not history.restored:
+                self._gather(shard, index, result)
+        elif isinstance(result, Verdict) and result.change is not None and not history.restored:
+            self._send_change(shard, index, pack_configuration_change(result.change))
+
+    def _gather(self, shard: int, index: int, change: InstancesChange) -> None:
+        """A change that comes alone is sent at once; others right behind it wait for each other."""
+        history = self._histories[shard]
+        is_first = not history.gathering
+        history.gathering.add(index, change)
+        if is_first:
+            pause = history.gathered_at + GATHER_S - monotonic()
+            if pause > 0:
+                gevent.spawn_later(pause, self._send_gathered, shard)
+            else:
+                self._send_gathered(shard)
+
+    def _send_gathered(self, shard: int) -> None:
+        history = self._histories[shard]
+        if history.gathering:
+            history.gathered_at = monotonic()
+            self._send_change(shard, history.gathering.offset, pack_instances_change(history.gathering.take()))
+
+    def _send_change(self, shard: int, offset: int, body: bytes) -> None:
+        history = self._histories[shard]
+        encoded = encode(FeedDelta(shard, history.last, offset, body))
+        history.add(offset, encoded)
         for subscriber in list(self._subscribers.values()):
             self._send(subscriber, encoded)
 
@@ -145,6 +172,7 @@
         subscriber = Subscriber(request.node, connection)
         for shard, history in self._histories.items():
             self._settle(shard)
+            self._send_gathered(shard)
             for encoded in self._missed(shard, history, request.offsets.get(shard, 0)):
                 self._send(subscriber, encoded)
         if connection.closed:
@@ -164,6 +192,8 @@
         """One round of freshness messages; connections that have ended are dropped."""
         for connection in [each for each in self._subscribers if each.closed]:
             self._drop(connection)
+        for shard in self._histories:  # offsets are told below: all that they cover has to be sent before
+            self._send_gathered(shard)
         self._take_census()
         freshness = self._freshness()
         for subscriber in list(self._subscribers.values()):
@@ -219,11 +249,3 @@
 
     def _drop(self, connection: Connection) -> None:
         self._subscribers.pop(connection, None)
-
-
-def _packed_change(result: Any) -> bytes | None:
-    if isinstance(result, Verdict):
-        return None if result.change is None else pack_configuration_change(result.change)
-    if isinstance(result, InstancesChange):
-        return pack_instances_change(result) if result else None
-    return None
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -7,6 +7,7 @@
 from gevent.event import Event
 
 from ochrespan.control_plane.feed_client import FeedClient
+from ochrespan.control_plane.feed_server import FeedServer
 from ochrespan.control_plane.fleet_table import FleetChange, FleetTable
 from ochrespan.control_plane.peers import Peers
 from ochrespan.control_plane.router_quota import configure_quotas, quota_client_for
@@ -31,9 +32,11 @@
     def _changed(self, table: FleetTable, change: FleetChange) -> None:
         self.history.append(table)
         self.changes.append(change)
-        for condition, event in self._waiting:
+        for waiting in list(self._waiting):
+            condition, event = waiting
             if condition(table):
                 event.set()
+                self._waiting.remove(waiting)  # it may not hold, nor even apply, to later tables
 
     def wait_for_draft(self, version: int) -> None:
         """Waits until the configuration is known, whether or not it is good enough to serve by."""
@@ -42,10 +45,10 @@
                 gevent.idle()
 
     def wait(self, condition: Callable[[FleetTable], bool]) -> FleetTable:
-        event = Event()
-        self._waiting.append((condition, event))
         if self.client.table is not None and condition(self.client.table):
             return self.client.table
+        event = Event()
+        self._waiting.append((condition, event))
         assert event.wait(PATIENCE_S), self.client.table
         return self.client.table
 
@@ -249,3 +252,30 @@
     assert client._choice.best(0.0) == ("10.0.0.9", 7500)
     client.members_changed(["edge-1"], {})
     assert client._draft.router_count == 3  # a fall counts after a while
+
+
+def test_many_changes_at_once_reach_a_router_in_few_messages(world, routers, monkeypatch):
+    sent: list[tuple[int, int]] = []
+    send_change = FeedServer._send_change
+
+    def note(server: FeedServer, shard: int, offset: int, body: bytes) -> None:
+        sent.append((shard, offset))
+        send_change(server, shard, offset, body)
+
+    monkeypatch.setattr(FeedServer, "_send_change", note)
+    router = Router(world)
+    routers.append(router)
+    controller = world.controllers[0]
+    controller.put_config(configuration(5), 0)
+    router.wait(lambda table: table.version == 5)
+    sent.clear()
+    calls = [gevent.spawn(controller.put_instance, f"i-{number}", instance(1, address=f"10.0.0.9:{number}"))
+             for number in range(1, 101)]
+    gevent.joinall(calls)
+    router.wait(lambda table: len(table.instances_of("judges")) == 100)
+    assert len(sent) < 100 * len(world.controllers)
+    controller.put_instance("i-1", instance(2, "draining", address="10.0.0.9:1"))
+    router.wait(lambda table: table.instances_of("judges")["i-1"].state == "draining")
+    late = Router(world, "edge-2")
+    routers.append(late)
+    late.wait(lambda table: len(table.instances_of("judges")) == 100)
--- a/tests/test_feed_parts.py
+++ b/tests/test_feed_parts.py
@@ -1,8 +1,11 @@
 """The pure parts of the feed: histories, tables that share what stays, cold times, lags and counts of routers."""
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from ochrespan.control_plane import feed_server
+from ochrespan.control_plane.change_gathering import ChangeGathering
 from ochrespan.control_plane.cold_times import ColdTimes
 from ochrespan.control_plane.configuration import Configuration, change_to
 from ochrespan.control_plane.feed_messages import (
@@ -156,3 +159,27 @@
     census.members([])
     census.own({"b"}, SETTLING_S + 5.0)
     assert census.routers() == ["b"]
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from("abc"), st.sampled_from(["ready", "draining", None])), min_size=1))
+def test_gathered_changes_lead_to_the_same_table_as_one_after_the_other(steps):
+    gathering, one_by_one = ChangeGathering(), FleetTable()
+    for offset, (name, state) in enumerate(steps, start=1):
+        change = InstancesChange(removed=(name,))
+        if state is not None:
+            change = InstancesChange((record_of(name, instance(offset, state, address=f"10.0.0.1:{offset}")),))
+        gathering.add(offset, change)
+        one_by_one, _ = with_instances_change(one_by_one, change, 0.0)
+    assert gathering.offset == len(steps)
+    together, _ = with_instances_change(FleetTable(), gathering.take(), 0.0)
+    assert together.instances == one_by_one.instances and not gathering
+
+
+def test_a_gathering_takes_the_place_of_an_instance_that_was_known():
+    known, _ = with_instances_change(FleetTable(), InstancesChange((record("a"), record("b"))), 0.0)
+    gathering = ChangeGathering()
+    gathering.add(5, InstancesChange((record("c"),), ("a",)))
+    gathering.add(6, InstancesChange((record_of("b", instance(2, "draining")),)))
+    after, _ = with_instances_change(known, gathering.take(), 0.0)
+    assert {name: each.state for name, each in after.instances_of("judges").items()} == {"b": "draining", "c": "ready"}
--- a/tests/test_router_tables.py
+++ b/tests/test_router_tables.py
@@ -215,6 +215,7 @@
 @pytest.fixture
 def follow(monkeypatch):
     """Lets a feed client take the messages of some connections, one after the other, to its end."""
+    monkeypatch.setattr(feed_client, "PUBLISH_PAUSE", 0.0)
 
     def take(client: FeedClient, *connections: ArrivedTogether) -> None:
         for connection in connections:
@@ -247,3 +248,39 @@
     client = FeedClient("edge-1", "z", [ADDRESS], take)
     follow(client, ArrivedTogether(*whole_state()), ArrivedTogether(*deltas("a", 1)), ArrivedTogether(*deltas("b", 1)))
     assert [change.instances for change in told[1:]] == [{"a"}, {"a", "b"}]
+
+
+def test_where_tables_take_long_to_take_up_changes_of_a_busy_time_are_told_together(follow, monkeypatch):
+    clock = [100.0]
+    monkeypatch.setattr(feed_client, "monotonic", lambda: clock[0])
+    monkeypatch.setattr(feed_client, "PUBLISH_PAUSE", 20.0)
+    told: list[tuple[float, FleetTable]] = []
+
+    def take(table: FleetTable, change: FleetChange) -> None:
+        told.append((clock[0], table))
+        clock[0] += 0.005  # s
+
+    client = FeedClient("edge-1", "z", [ADDRESS], take)
+    follow(client, ArrivedTogether(*whole_state()))
+    for number in range(100):
+        clock[0] += 0.001
+        client._take_delta(list(deltas("a", number + 1))[-1])
+        client._publish_changes()
+    assert len(told) <= 3  # of 0.1 s at 20 times 5 ms
+    clock[0] += 0.2
+    client._publish_late()
+    assert len(told[-1][1].instances_of("a")) == 100
+    client.stop()
+
+
+def test_the_pause_between_tables_is_bounded(follow, monkeypatch):
+    clock = [100.0]
+    monkeypatch.setattr(feed_client, "monotonic", lambda: clock[0])
+    monkeypatch.setattr(feed_client, "PUBLISH_PAUSE", 20.0)
+
+    def take(table: FleetTable, change: FleetChange) -> None:
+        clock[0] += 3.0
+
+    client = FeedClient("edge-1", "z", [ADDRESS], take)
+    follow(client, ArrivedTogether(*whole_state()))
+    assert client._publish_from == clock[0] + feed_client.LONGEST_PUBLISH_PAUSE_S
