TLS between routers and controllers, with keys that change in service

Need: calls, feeds and replication crossed the network in clear text, and anyone who reached the port could take part. Off unless the settings name peer_tls (a key that only this project uses, as settings may gain fields of others). The module is loaded only then. Way not taken: names in certificates; peers know each other by IP, and every member may speak for the fleet. Tests: strangers without TLS and of another authority, large and parallel calls, replica groups and a hand-over, keys and authorities that change, spoilt files, faults of the settings. trustme makes the certificates of the tests.

--- a/ochrespan/programs/controller.py
+++ b/ochrespan/programs/controller.py
@@ -18,7 +18,7 @@
 from ..control_plane.replica_host import HostSettings, ReplicaHost
 from ..observability import logs
 from ..transport.tcp import Address, parse_address
-from .settings import Settings, SettingsFile, settings_path
+from .settings import Settings, SettingsFile, secure_peers, settings_path
 
 log = logging.getLogger(__name__)
 
@@ -109,6 +109,7 @@
     gevent.signal_handler(signal.SIGINT, ended.set)
     try:
         settings_file = SettingsFile(settings_path())
+        secure_peers(settings_file.current)
         controller = Controller(settings_file.current)
     except CheckFailed as error:
         for finding in error.findings:
--- a/ochrespan/programs/router_process.py
+++ b/ochrespan/programs/router_process.py
@@ -22,7 +22,7 @@
 from ..data_plane.scheduler import Scheduler
 from ..observability import logs
 from ..transport.tcp import Address, parse_address
-from .settings import Settings, SettingsFile, bound, settings_path
+from .settings import Settings, SettingsFile, bound, secure_peers, settings_path
 
 log = logging.getLogger(__name__)
 
@@ -115,6 +115,7 @@
 
     try:
         settings_file = SettingsFile(settings_path(), settings_changed)
+        secure_peers(settings_file.current)
         router = Router(settings_file.current, listener)
     except CheckFailed as error:
         for finding in error.findings:
--- a/ochrespan/programs/settings.py
+++ b/ochrespan/programs/settings.py
@@ -27,7 +27,7 @@
     whole,
 )
 from ..observability.logs import DEFAULT_LEVEL, LEVELS, set_level
-from ..transport.tcp import parse_address
+from ..transport.tcp import parse_address, secure_connections
 
 log = logging.getLogger(__name__)
 
@@ -80,6 +80,14 @@
     regions: NotRequired[Annotated[int, whole()]]
 
 
+class PeerTls(TypedDict):
+    """PEM files for connections between processes of the fleet."""
+
+    certificate: Annotated[str, text()]
+    key: Annotated[str, text()]
+    authority: Annotated[str, text()]
+
+
 class Settings(TypedDict):
     """The settings file; fields that are not named here are ignored."""
 
@@ -102,6 +110,7 @@
     contracts: NotRequired[Annotated[list[str], list_of(text())]]
     fault_tolerance: NotRequired[Annotated[FaultTolerance, typed(FaultTolerance)]]
     bounds: NotRequired[dict[str, Any]]
+    peer_tls: NotRequired[Annotated[PeerTls | None, optional(typed(PeerTls))]]
     log_level: NotRequired[Annotated[str, _log_level]]
 
 
@@ -137,6 +146,20 @@
         raise CheckFailed([Finding(str(path), str(error), "a readable text file")]) from error
 
 
+def secure_peers(settings: Settings) -> None:
+    """Turns TLS between the processes of the fleet on where the settings ask for it; raises CheckFailed."""
+    files = settings.get("peer_tls")
+    if not files:
+        return
+    from ..transport.security import KeyFiles, PeerSecurity  # most fleets do without, and loading it takes time
+
+    try:
+        secure_connections(PeerSecurity(KeyFiles(files["certificate"], files["key"], files["authority"])))
+    except OSError as error:
+        allowed = "PEM files of a certificate, its key and the authority"
+        raise CheckFailed([Finding("peer_tls", str(error), allowed)]) from error
+
+
 def bound(settings: Settings, name: str, default: float) -> float:
     """A figure of the rules, or `default` where the settings do not give it as a number."""
     value = settings.get("bounds", {}).get(name)
--- a/ochrespan/transport/tcp.py
+++ b/ochrespan/transport/tcp.py
@@ -7,7 +7,7 @@
 import struct
 from collections import deque
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import gevent
 from gevent import socket
@@ -16,6 +16,9 @@
 
 from .codec import MessageError, decode, encode
 
+if TYPE_CHECKING:  # loaded only where the settings ask for it
+    from .security import PeerSecurity
+
 Address = tuple[str, int]
 
 log = logging.getLogger(__name__)
@@ -25,10 +28,19 @@
 USER_TIMEOUT_MS = 2500  # unacknowledged data ends a connection after this long
 KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_PROBES = 1, 1, 2
 RECEIVE_BYTES = 64 * 1024
+HANDSHAKE_TIMEOUT_S = 2.0
+
+_security: PeerSecurity | None = None  # of all connections of this process
 
 _length = struct.Struct(">I")
 
 
+def secure_connections(security: PeerSecurity | None) -> None:
+    """Connections that are opened or accepted from now on use TLS, or none."""
+    global _security
+    _security = security
+
+
 class ConnectionClosed(Exception):
     """The connection has ended, or its peer could not keep up."""
 
@@ -121,7 +133,7 @@
         while len(self._received) < size:
             try:
                 data = self._socket.recv(RECEIVE_BYTES)
-            except OSError as error:
+            except (OSError, ValueError) as error:  # ValueError: TLS on a socket that was closed meanwhile
                 self.close()
                 raise ConnectionClosed(f"{format_address(self.peer)}: {error}") from error
             if not data:
@@ -143,17 +155,29 @@
                 continue
             try:
                 self._socket.sendall(data)
-            except OSError:
+            except (OSError, ValueError):
                 self.close()
 
 
 def dial(address: Address, timeout: float) -> Connection:
     """Opens a connection; raises OSError, TimeoutError among them."""
     sock = socket.create_connection(address, timeout=timeout)
+    if _security is not None:
+        sock = _with_handshake(sock, _security.wrap_client, timeout)
     sock.settimeout(None)
     return Connection(sock, address)
 
 
+def _with_handshake(sock: socket.socket, wrap: Callable[[Any], Any], timeout: float) -> Any:
+    """The socket after its TLS handshake; raises OSError, and closes it then."""
+    sock.settimeout(timeout)
+    try:
+        return wrap(sock)
+    except OSError:
+        sock.close()
+        raise
+
+
 class Listener:
     """Accepts connections and runs `handle(connection)` in a greenlet for each."""
 
@@ -176,6 +200,13 @@
             connection.close()
 
     def _accepted(self, sock: socket.socket, peer: Address) -> None:
+        if _security is not None:
+            try:
+                sock = _with_handshake(sock, _security.wrap_server, HANDSHAKE_TIMEOUT_S)
+            except OSError as error:
+                log.warning("peer refused peer=%s error=%r", format_address(peer), str(error))
+                return
+            sock.settimeout(None)
         connection = Connection(sock, peer)
         self._connections.add(connection)
         try:
--- /dev/null
+++ b/tests/test_peer_security.py
@@ -0,0 +1,168 @@
+"""TLS between the processes of the fleet: who is let in, who is not, and keys that change in service."""
+
+import contextlib
+import logging
+import os
+from dataclasses import dataclass
+
+import gevent
+import pytest
+import trustme
+import yaml
+
+from ochrespan.control_plane.checking import CheckFailed
+from ochrespan.programs.settings import parse_settings, secure_peers
+from ochrespan.transport import codec, rpc, tcp
+from ochrespan.transport.security import KeyFiles, PeerSecurity
+from tests.core_hosts import free_port, kill, leader_of, make_host, propose
+
+
+@codec.message("test.secret")
+@dataclass(slots=True)
+class Secret:
+    text: str
+
+
+def key_files(folder, authority: trustme.CA) -> KeyFiles:
+    """Puts a new certificate of the authority into the folder's files, each replaced whole."""
+    issued = authority.issue_cert("fleet.example")
+    blobs = {"certificate": issued.cert_chain_pems[0], "key": issued.private_key_pem, "authority": authority.cert_pem}
+    for name, blob in blobs.items():
+        blob.write_to_path(str(folder / f"{name}.new"))
+        os.replace(folder / f"{name}.new", folder / f"{name}.pem")
+    return KeyFiles(*(str(folder / f"{name}.pem") for name in ("certificate", "key", "authority")))
+
+
+@pytest.fixture
+def authority():
+    return trustme.CA()
+
+
+@pytest.fixture
+def use():
+    yield tcp.secure_connections
+    tcp.secure_connections(None)
+
+
+@pytest.fixture
+def server():
+    server = rpc.CallServer(("127.0.0.1", 0))
+    server.on_call(Secret, lambda request: Secret(request.text * 2))
+    server.start()
+    yield server
+    server.stop()
+
+
+def test_calls_of_any_size_pass_between_processes_of_one_authority(tmp_path, authority, use, server):
+    use(PeerSecurity(key_files(tmp_path, authority)))
+    caller = rpc.Caller(server.address)
+    texts = ["a", "b" * 3_000_000, "c"]
+    calls = [gevent.spawn(caller.call, Secret(text), 20.0) for text in texts]
+    assert [call.get().text for call in calls] == [text * 2 for text in texts]
+
+
+def test_a_peer_without_tls_is_refused_with_a_line_in_the_log(tmp_path, authority, use, server, caplog):
+    plain = tcp.dial(server.address, 5.0)
+    gevent.sleep(0)  # accepted while there was no TLS: it stays
+    use(PeerSecurity(key_files(tmp_path, authority)))
+    with caplog.at_level(logging.WARNING):
+        stranger = tcp.socket.create_connection(server.address, timeout=5.0)
+        stranger.sendall(b"\x00\x00\x00\x05hello")
+        with contextlib.suppress(ConnectionResetError):  # the listener may close with bytes unread
+            while stranger.recv(100):
+                pass
+    assert "peer refused" in caplog.text
+    stranger.close()
+    plain.close()
+
+
+def test_a_peer_with_a_certificate_of_another_authority_gets_no_answer(tmp_path, authority, use, server, caplog):
+    own, foreign = tmp_path / "own", tmp_path / "foreign"
+    own.mkdir(), foreign.mkdir()
+    security = PeerSecurity(key_files(own, authority))
+    stranger = PeerSecurity(key_files(foreign, trustme.CA()))
+
+    class TwoSides:
+        wrap_client, wrap_server = stranger.wrap_client, security.wrap_server
+
+    use(TwoSides())
+    with pytest.raises(rpc.CallFailed):
+        rpc.Caller(server.address).call(Secret("a"), 5.0)
+    TwoSides.wrap_client = security.wrap_client
+    assert rpc.Caller(server.address).call(Secret("a"), 5.0) == Secret("aa")
+
+
+def test_keys_that_are_replaced_count_for_new_connections_and_old_ones_go_on(tmp_path, authority, use, server, caplog):
+    caplog.set_level(logging.INFO)
+    use(PeerSecurity(key_files(tmp_path, authority)))
+    old = rpc.Caller(server.address)
+    assert old.call(Secret("a"), 5.0) == Secret("aa")
+    key_files(tmp_path, trustme.CA())
+    assert rpc.Caller(server.address).call(Secret("b"), 5.0) == Secret("bb")
+    assert "keys for peers changed" in caplog.text
+    assert old.call(Secret("c"), 5.0) == Secret("cc")
+
+
+def test_while_the_authority_changes_certificates_of_both_are_taken(tmp_path, authority, use, server):
+    old, new, both = (tmp_path / name for name in ("old", "new", "both"))
+    for folder in (old, new, both):
+        folder.mkdir()
+    successor = trustme.CA()
+    key_files(old, authority), key_files(new, successor)
+    files = key_files(both, successor)
+    authorities = (old / "authority.pem").read_text() + (new / "authority.pem").read_text()
+    for folder in (old, new, both):
+        (folder / "authority.pem").write_text(authorities)
+    not_changed = PeerSecurity(KeyFiles(*(str(old / f"{name}.pem") for name in ("certificate", "key", "authority"))))
+
+    class TwoSides:
+        wrap_client, wrap_server = PeerSecurity(files).wrap_client, not_changed.wrap_server
+
+    use(TwoSides())
+    assert rpc.Caller(server.address).call(Secret("a"), 5.0) == Secret("aa")
+
+
+@pytest.mark.parametrize("spoil", ["certificate", "key", "authority"])
+def test_new_keys_that_cannot_be_read_change_nothing(tmp_path, authority, use, server, spoil, caplog):
+    use(PeerSecurity(key_files(tmp_path, authority)))
+    (tmp_path / f"{spoil}.pem").write_text("spoilt")
+    assert rpc.Caller(server.address).call(Secret("a"), 5.0) == Secret("aa")
+    assert "the old ones stay" in caplog.text
+    (tmp_path / f"{spoil}.pem").unlink()
+    assert rpc.Caller(server.address).call(Secret("b"), 5.0) == Secret("bb")
+
+
+def test_replica_groups_form_and_hand_over_over_tls(tmp_path, authority, use):
+    use(PeerSecurity(key_files(tmp_path, authority)))
+    port = free_port()
+    hosts = [make_host(tmp_path, number, port) for number in (1, 2, 3)]
+    try:
+        leader = leader_of(hosts, 0)
+        assert propose(hosts, 0, b"one") == 1
+        others = [host for host in hosts if host is not leader]
+        leader.decline_leadership(600.0)
+        leader_of(others, 0)
+        assert propose(others, 0, b"two") == 2
+    finally:
+        for host in hosts:
+            kill(host)
+
+
+def settings(**files) -> dict:
+    text = yaml.safe_dump({"node": "core-1", "ip": "10.0.0.1", "zone": "a", "port_range": [1, 2], "seeds": [],
+                           "listen": {}, "peer_tls": files or None})
+    return parse_settings(text, "node.yaml")
+
+
+def test_the_settings_turn_tls_on_and_name_what_is_wrong_with_it(tmp_path, authority, use):
+    secure_peers(settings())  # off where nothing asks for it
+    assert tcp._security is None
+    files = key_files(tmp_path, authority)
+    secure_peers(settings(certificate=files.certificate, key=files.key, authority=files.authority))
+    assert tcp._security is not None
+    with pytest.raises(CheckFailed, match="peer_tls.key"):
+        settings(certificate=files.certificate, authority=files.authority)
+    with pytest.raises(CheckFailed, match="PEM files"):
+        secure_peers(settings(certificate=files.certificate, key=files.key, authority=str(tmp_path / "nothing.pem")))
+    with pytest.raises(CheckFailed, match="PEM files"):
+        secure_peers(settings(certificate=files.certificate, key=files.certificate, authority=files.authority))
