--- a/ochrespan/data_plane/router_node.py
+++ b/ochrespan/data_plane/router_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import socket
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -70,11 +71,11 @@
 
 
 class RouterNode:
-    """Serves clients by the latest table that it was told of."""
+    """Serves clients by the latest table that it was told of. `front` may be a socket that listens already."""
 
     def __init__(
         self,
-        front: Address,
+        front: Address | socket.socket,
         ready: Address,
         limits: MachineLimits,
         scheduler: SchedulerLike,
@@ -88,8 +89,9 @@
         self._pools = ServerPools(deadlines)
         self._front = Front(ExchangeTools(self._dispatcher, self._pools, deadlines), table_is_fresh, quotas, homes)
         self.ingress = IngressServer(front, self._front, deadlines, limits.client_connections, limits.body_bytes)
-        self._readiness = ReadinessServer(ready, self.is_ready, registry)
+        self._readiness = ReadinessServer(ready, self.is_ready, self.set_drained, registry)
         self._stopping = False
+        self._drained = False
         self._version = 0
         self._add_gauges(registry)
 
@@ -108,14 +110,20 @@
         log.info("listening front=%s:%d", *self.ingress.address[:2])
 
     def is_ready(self) -> bool:
-        """Whether new connections are welcome: with a table, until the process is told to stop."""
-        return self._front.table is not None and not self._stopping
+        """Whether new connections are welcome: with a table, not drained, until the process is told to stop."""
+        return self._front.table is not None and not self._drained and not self._stopping
+
+    def set_drained(self, drained: bool) -> None:
+        """An operator wants no new connections here, or wants them again; the present ones are served on."""
+        if drained != self._drained:
+            self._drained = drained
+            log.info("drained by an operator" if drained else "activated by an operator")
 
     def table_changed(self, table: FleetTable, change: FleetChange) -> None:
         """Takes over a new table."""
         self._version = table.version
         if self._front.table is None:
-            self._front.table = RoutingTable(table.configuration)
+            self._front.set_first_table(RoutingTable(table.configuration))
         elif change.routes or change.tenants or change.limits:
             self._front.table = self._front.table.changed_to(table.configuration, change.routes, change.tenants)
         if change.version:
