Processes of an upgrade exchange what they know in a thread, off the event loop

Lines: front.py follow_processes, which opened, locked and closed the roster's files in the loop. The likely stall is the last close of a file that its process has just removed, which waits for the file's pages on a busy disk; that was not caught in the act. Change: Roster.exchange does this work in a thread; a late loop is told in the log ('event loop held up'). Test: the loop goes on while the exchange is held up.

--- a/ochrespan/front.py
+++ b/ochrespan/front.py
@@ -46,6 +46,7 @@
 LOOK = timedelta(seconds=0.02)
 LAST = timedelta(seconds=0.1)  # for what arrived in the very last moment
 FIRST_LIST = timedelta(seconds=1)  # to hear it before the front is put to use, where it counts as told by then
+HELD_UP = timedelta(seconds=0.5)  # of the event loop, worth a line in the log
 FOLLOW = timedelta(seconds=0.1)  # between looks at what operators and the other process of an upgrade want
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
 
@@ -246,16 +247,19 @@
     session: aiohttp.ClientSession, listeners: list[Listener],
 ) -> None:
     """Keeps in step with the other process of an upgrade: what operators told it, and its part of the limits."""
-    known = roster.size()
+    known, loop = roster.size(), asyncio.get_running_loop()
     while True:
+        due = loop.time() + FOLLOW.total_seconds()
         await asyncio.sleep(FOLLOW.total_seconds())
+        if (late := loop.time() - due) > HELD_UP.total_seconds():
+            log.warning("event loop held up", extra={"seconds": round(late, 2)})
         switch.refresh()
-        roster.tell(in_use())
-        lifecycle.succeeded = roster.has_ready_successor()
-        if (processes := roster.size()) != known:
-            log.info("processes of this front", extra={"was": known, "now": processes})
-            known = processes
-        if sockets.leave_to_others(roster.descriptors_of_others()):
+        seen = await asyncio.to_thread(roster.exchange, in_use())
+        lifecycle.succeeded = seen.has_ready_successor
+        if seen.processes != known:
+            log.info("processes of this front", extra={"was": known, "now": seen.processes})
+            known = seen.processes
+        if sockets.leave_to_others(seen.descriptors_of_others):
             resize(session, sockets.outgoing)
             sockets.share(listeners, len(listeners))
 
--- a/ochrespan/upgrade.py
+++ b/ochrespan/upgrade.py
@@ -10,6 +10,7 @@
 import logging
 import os
 import secrets
+import threading
 import time
 from dataclasses import dataclass
 from datetime import timedelta
@@ -69,12 +70,25 @@
     return max(LEAST_LIST_WAIT, LISTED_BY - age)
 
 
+@dataclass(frozen=True, slots=True)
+class RosterView:
+    """What the processes of a front know of each other."""
+
+    processes: int = 1  # that live, this one among them
+    descriptors_of_others: int = 0  # that they told of last
+    has_ready_successor: bool = False
+
+
 class Roster:
-    """Which processes of this front live, in the order of their starts. Without a folder, this one alone."""
+    """Which processes of this front live, in the order of their starts. Without a folder, this one alone.
+
+    `exchange` may run in a thread while the others are called from the event loop.
+    """
 
     def __init__(self, folder: Path | None) -> None:
         self._folder = folder
         self._own: IO[str] | None = None
+        self._lock = threading.Lock()  # of the own file, which `leave` closes
         self._ready = False
         self._name = f"{time.monotonic_ns():020d}-{secrets.token_hex(4)}{SUFFIX}"  # one clock for all processes
 
@@ -96,19 +110,33 @@
 
     def tell(self, descriptors: int) -> None:
         """Tells the others how many descriptors this process holds, and whether it is ready."""
-        if self._own is None:
-            return
         state = ProcessState(self._ready, descriptors)
-        try:
-            os.pwrite(self._own.fileno(), state.dump(), 0)  # always of one length: never seen in part
-        except OSError as why:
-            log.error("other processes of this front do not see this one", extra={"why": str(why)})
+        with self._lock:
+            if self._own is None:
+                return
+            try:
+                os.pwrite(self._own.fileno(), state.dump(), 0)  # always of one length: never seen in part
+            except OSError as why:
+                log.error("other processes of this front do not see this one", extra={"why": str(why)})
+
+    def exchange(self, descriptors: int) -> RosterView:
+        """Tells the others how many descriptors this process holds, and gives what they tell.
+
+        It opens, locks and closes files. A disk may hold any of that up, so it has no place in the event loop: the
+        last close of a file that its process has removed was seen to take 1.8 s.
+        """
+        self.tell(descriptors)
+        told = {name: self._state(name) for name in self._others()}
+        return RosterView(
+            1 + len(told), sum(state.descriptors for state in told.values()),
+            any(name > self._name and state.ready for name, state in told.items()))
 
     def leave(self) -> None:
-        if self._own is not None and self._folder is not None:
-            (self._folder / self._name).unlink(missing_ok=True)
-            self._own.close()
-            self._own = None
+        with self._lock:
+            if self._own is not None and self._folder is not None:
+                (self._folder / self._name).unlink(missing_ok=True)
+                self._own.close()
+                self._own = None
 
     def has_predecessor(self) -> bool:
         return any(name < self._name for name in self._others())
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,14 +2,19 @@
 
 import asyncio
 import socket
+import threading
 from datetime import timedelta
 from itertools import count
 
 import pytest
 
+from ochrespan.front import follow_processes
+from ochrespan.lifecycle import Lifecycle
+from ochrespan.net.client_session import open_session
 from ochrespan.net.listener import Listener
+from ochrespan.settings import Links
 from ochrespan.sockets import Sockets
-from ochrespan.upgrade import LEAST_LIST_WAIT, LISTED_BY, Roster, list_wait, process_age, shared_folder
+from ochrespan.upgrade import LEAST_LIST_WAIT, LISTED_BY, Roster, RosterView, list_wait, process_age, shared_folder
 
 from .operating import Controlled
 from .test_endings import GET, Idle, served
@@ -18,6 +23,7 @@
 
 NUMBERS = count()  # an id of its own for each request
 
+
 def test_a_roster_knows_who_lives_who_came_first_and_who_is_ready(tmp_path):
     folder = shared_folder(str(tmp_path), "n0")
     first, second = Roster(folder), Roster(folder)
@@ -37,6 +43,50 @@
     assert first.size() == 1 and not first.has_ready_successor()
 
 
+def test_what_processes_exchange_is_what_each_told(tmp_path):
+    folder = shared_folder(str(tmp_path), "n0")
+    first, second = Roster(folder), Roster(folder)
+    first.join()
+    assert first.exchange(5) == RosterView()
+    second.join()
+    second.tell_ready()
+    assert second.exchange(40) == RosterView(2, 5, False)
+    assert first.exchange(6) == RosterView(2, 40, True)
+    second.leave()
+    second.exchange(3)  # one that was under way in a thread when its process left
+    assert first.exchange(6) == RosterView()
+
+
+def test_a_disk_that_holds_up_the_files_of_an_upgrade_does_not_hold_up_the_front(tmp_path):
+    """Requests met no connection for 1.85 s while the process that took over closed a file of the one that had left."""
+
+    class HeldUp(Roster):
+        asked, released = threading.Event(), threading.Event()
+
+        def exchange(self, descriptors: int) -> RosterView:
+            self.asked.set()
+            assert self.released.wait(20)
+            return RosterView(2, 7, True)
+
+    class Switch:
+        def refresh(self) -> None:
+            pass
+
+    async def story():
+        roster, lifecycle, sockets = HeldUp(shared_folder(str(tmp_path), "n0")), Lifecycle(), Sockets(384, True)
+        roster.join()
+        session = open_session(Links(timedelta(seconds=1), timedelta(seconds=1)), 8)
+        following = asyncio.create_task(follow_processes(roster, Switch(), lifecycle, sockets, session, []))
+        await until(roster.asked.is_set)  # the loop goes on
+        assert not lifecycle.succeeded
+        roster.released.set()
+        await until(lambda: lifecycle.succeeded)
+        following.cancel()
+        await session.close()
+
+    play(story())
+
+
 def test_a_new_process_that_starts_slowly_waits_less_for_its_list():
     """On a busy machine the start took seconds, the wait 3 s more, and the process was not ready within 6 s."""
     assert list_wait(timedelta()) == LISTED_BY
