--- a/ochrespan/control_plane/answers.py
+++ b/ochrespan/control_plane/answers.py
@@ -49,8 +49,7 @@
 
 def refusal(status: int, findings: Iterable[Finding]) -> Answer:
     """An answer that names the findings."""
-    listed = [{"where": each.where, "found": each.found, "allowed": each.allowed} for each in findings]
-    return json_answer(status, {"findings": listed})
+    return json_answer(status, {"findings": [each.fields() for each in findings]})
 
 
 def unavailable(where: str, found: str) -> Answer:
--- a/ochrespan/control_plane/checking.py
+++ b/ochrespan/control_plane/checking.py
@@ -24,6 +24,10 @@
     found: str
     allowed: str
 
+    def fields(self) -> dict[str, str]:
+        """The finding as a map, for answers."""
+        return {"where": self.where, "found": self.found, "allowed": self.allowed}
+
     def __str__(self) -> str:
         return f"{self.where}: found {self.found}, allowed {self.allowed}"
 
--- a/ochrespan/data_plane/readiness.py
+++ b/ochrespan/data_plane/readiness.py
@@ -55,8 +55,8 @@
         try:
             wanted = _read_readiness(environ)
         except CheckFailed as error:
-            listed = [{"where": each.where, "found": each.found, "allowed": each.allowed} for each in error.findings]
-            return _respond_with_json(start_response, HTTPStatus.BAD_REQUEST, {"findings": listed})
+            findings = [each.fields() for each in error.findings]
+            return _respond_with_json(start_response, HTTPStatus.BAD_REQUEST, {"findings": findings})
         self._set_drained(wanted["drained"])
         return _respond_with_json(start_response, HTTPStatus.OK, wanted)
 
