Upgrade: one look at the roster, and no more said of its stall than was seen

Cause: a last read of the change. The settings' variable was named twice. Change: words corrected, the questions share one look. Tests of upgrades, settings, routers and controllers pass.

--- a/ochrespan/programs/settings.py
+++ b/ochrespan/programs/settings.py
@@ -28,10 +28,10 @@
 )
 from ..observability.logs import DEFAULT_LEVEL, LEVELS, set_level
 from ..transport.tcp import parse_address, secure_connections
+from .early_listener import SETTINGS_VARIABLE
 
 log = logging.getLogger(__name__)
 
-SETTINGS_VARIABLE = "OCHRESPAN_SETTINGS"
 RELOAD_INTERVAL_S = 1.0
 
 
--- a/ochrespan/upgrade.py
+++ b/ochrespan/upgrade.py
@@ -122,14 +122,10 @@
     def exchange(self, descriptors: int) -> RosterView:
         """Tells the others how many descriptors this process holds, and gives what they tell.
 
-        It opens, locks and closes files. A disk may hold any of that up, so it has no place in the event loop: the
-        last close of a file that its process has removed was seen to take 1.8 s.
+        It opens, locks and closes files. A disk may hold any of that up, so it has no place in the event loop.
         """
         self.tell(descriptors)
-        told = {name: self._state(name) for name in self._others()}
-        return RosterView(
-            1 + len(told), sum(state.descriptors for state in told.values()),
-            any(name > self._name and state.ready for name, state in told.items()))
+        return self._look()
 
     def leave(self) -> None:
         with self._lock:
@@ -142,15 +138,21 @@
         return any(name < self._name for name in self._others())
 
     def has_ready_successor(self) -> bool:
-        return any(name > self._name and self._state(name).ready for name in self._others())
+        return self._look().has_ready_successor
 
     def descriptors_of_others(self) -> int:
         """Descriptors that the other processes told of last."""
-        return sum(self._state(name).descriptors for name in self._others())
+        return self._look().descriptors_of_others
 
     def size(self) -> int:
         """Processes that live, this one among them."""
-        return 1 + len(self._others())
+        return self._look().processes
+
+    def _look(self) -> RosterView:
+        told = {name: self._state(name) for name in self._others()}
+        return RosterView(
+            1 + len(told), sum(state.descriptors for state in told.values()),
+            any(name > self._name and state.ready for name, state in told.items()))
 
     def _others(self) -> list[str]:
         if self._folder is None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -58,7 +58,7 @@
 
 
 def test_a_disk_that_holds_up_the_files_of_an_upgrade_does_not_hold_up_the_front(tmp_path):
-    """Requests met no connection for 1.85 s while the process that took over closed a file of the one that had left."""
+    """An event loop that did this work itself stood for 1.85 s in an upgrade; whether by this work was not proven."""
 
     class HeldUp(Roster):
         asked, released = threading.Event(), threading.Event()
