--- a/ochrespan/data_plane/decisions.py
+++ b/ochrespan/data_plane/decisions.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from .decision_record import DecisionRecord
+
 
 @dataclass(slots=True)
 class Request:
@@ -26,6 +28,7 @@
     prefix: tuple[tuple[str, int], ...] = ()  # parts of the prompt in order: id and tokens
     arrived: float = 0.0
     home: str = ""  # the server that keeps the shared parts, where that is known
+    record: DecisionRecord | None = None  # where its decisions are recorded
 
 
 @dataclass(slots=True)
--- a/ochrespan/data_plane/exchange.py
+++ b/ochrespan/data_plane/exchange.py
@@ -4,11 +4,12 @@
 
 import time
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .attempt import Attempt, AttemptEnded
 from .client_connection import ClientConnection
 from .deadlines import DeadlineHeap
+from .decision_record import DecisionLog
 from .decisions import Action, Fail, Outcome, Refuse, Request, Send
 from .dispatcher import Dispatcher
 from .event_stream import EventStream
@@ -36,6 +37,7 @@
     dispatcher: Dispatcher
     pools: ServerPools
     deadlines: DeadlineHeap
+    decision_log: DecisionLog = field(default_factory=DecisionLog)
 
 
 class Exchange:
@@ -52,6 +54,7 @@
         self._dispatcher = tools.dispatcher
         self._pools = tools.pools
         self._deadlines = tools.deadlines
+        self._decision_log = tools.decision_log
         self._client = client
         self._request = request
         self._server_request = server_request
@@ -65,6 +68,7 @@
         self._events = EventStream()
         self._ready = b""  # whole events that are to be passed on
         self._break: Outcome | None = None  # the attempt has failed behind what is ready
+        self._given: OwnAnswer | ServerAnswer | None = None  # the final answer, once it has left whole
 
     def respond(self, start_response: StartResponse) -> Iterable[bytes]:
         """The answer as a WSGI result; raises ClientGone."""
@@ -74,15 +78,18 @@
             self._dispatcher.submit(self._request, self)
             found = self._find_answer()
             if isinstance(found, OwnAnswer):
+                self._given = found
                 return found.respond(start_response)
             answer = found.answer
             if answer.complete and answer.status in _PROMISES_NOT_RUN:
-                return self._without_promise(answer).respond(start_response)
+                self._given = self._without_promise(answer)
+                return self._given.respond(start_response)
             headers = end_to_end_headers(answer.headers)
             if _carries_events(answer):  # the stream may be taken up elsewhere, so its length is not known
                 headers = [header for header in headers if header[0].lower() != "content-length"]
             start_response(f"{answer.status} {answer.reason}", headers)
             if self._attempt is None:
+                self._given = answer
                 return [answer.take_body()]
             relay = self._relay_events(found) if _carries_events(answer) else self._relay_body(found)
             return _Closing(relay, lambda: self._close(expiry))
@@ -200,6 +207,7 @@
                 yield data
             if answer.complete:
                 self._end_attempt(Outcome.DONE)
+                self._given = answer
                 return
             self._receive(attempt)
             if self._break is not None:
@@ -212,8 +220,11 @@
             whole = attempt.answer.complete and self._break is None
             if whole:
                 self._end_attempt(Outcome.DONE)
+                self._given = attempt.answer
             if self._ready:
                 ready, self._ready = self._ready, b""
+                if self._request.record is not None:
+                    self._request.record.passed_on(time.monotonic() - self._request.arrived)
                 yield ready
             if whole:
                 return
@@ -270,6 +281,10 @@
         if self._ticket is not None and not self._sending_began:
             self._ticket.release()
         self._dispatcher.close(self._request.id)
+        if self._request.record is not None:
+            status = self._given.status if self._given is not None else 0
+            retry_after = self._given.retry_after if isinstance(self._given, OwnAnswer) else None
+            self._decision_log.finish(self._request.record, self._request.arrived, status, retry_after)
 
 
 class _Closing:
--- a/ochrespan/data_plane/flow_queues.py
+++ b/ochrespan/data_plane/flow_queues.py
@@ -26,6 +26,7 @@
     units: float
     prompt: Prompt
     promoted: bool = False
+    promoted_at: float = 0.0
     held: bool = True  # waits for a send
     done: bool = False
     attempts: int = 0
@@ -59,14 +60,14 @@
         queue = (self._ready if job.promoted else self._waiting).setdefault(job.flow, deque())
         (queue.appendleft if first else queue.append)(job)
 
-    def charge(self, job: Job) -> None:
+    def charge(self, now: float, job: Job) -> None:
         """Counts a request's units as allocated to its flow, once."""
         if not job.promoted:
-            job.promoted = True
+            job.promoted, job.promoted_at = True, now
             job.flow.eta += job.units / job.flow.weight
             self._eta_top = max(self._eta_top, job.flow.eta)
 
-    def promote(self, length: int) -> None:
+    def promote(self, now: float, length: int) -> None:
         """LexAS: gates flow queues into the scheduler queue of this length."""
         if not self._waiting:
             return
@@ -77,7 +78,7 @@
         while heads := [job for job in _heads(self._waiting) if not is_gated(job.flow.eta, t_max, ready, length)]:
             job = min(heads, key=lambda head: head.flow.eta)
             self._waiting[job.flow].popleft()
-            self.charge(job)
+            self.charge(now, job)
             self.add(job)
             ready += 1
 
--- a/ochrespan/data_plane/front.py
+++ b/ochrespan/data_plane/front.py
@@ -13,11 +13,12 @@
 
 from ..control_plane.quota_client import cost_of
 from .client_connection import ClientConnection, ReadLimits
+from .decision_record import DecisionRecord, milliseconds
 from .decisions import Request
 from .exchange import Exchange, ExchangeTools
 from .own_answers import OwnAnswer, StartResponse, over_quota
 from .placement import shared_prefix
-from .quota_ticket import Quotas, TicketDesk
+from .quota_ticket import Quotas, QuotaTicket, TicketDesk
 from .request_head import BAD_REQUEST, RequestHead, RequestRefused
 from .routing_table import RouteEntry, RoutingTable
 from .server_request import ServerRequest
@@ -107,16 +108,40 @@
                 return self._deny(401, "a key that is not known" if key else "no key", request_id)
         usage = _token_usage(head)
         request = self._request(head, request_id, entry, tenant, usage or (0, 0), arrived)
+        request.record = self._record(request_id, request)
         client.answer_until = request.deadline + ANSWER_GRACE_S
         ticket = None
         if tenant is not None and self._tickets is not None:
             ticket = self._tickets.take(client, tenant.name, cost_of(tenant, usage), _wait_for_tokens_until(request))
+            self._record_quota(request, ticket)
             if not ticket.is_valid:
                 return over_quota(request_id, ticket.retry_after_s)
         self._find_home(request)
         server_request = ServerRequest(head, request_id, body, tenant.name if tenant else None)
         return Exchange(self._tools, client, request, server_request, ticket)
 
+    def _record(self, request_id: str, request: Request) -> DecisionRecord | None:
+        """The begun record of a request that is sampled."""
+        record = self._tools.decision_log.begin(request_id, request.arrived)
+        if record is None:
+            return None
+        record.route, record.service, record.tenant = request.route, request.service, request.tenant
+        record.priority, record.tokens_in, record.tokens_out = request.priority, request.tokens_in, request.tokens_out
+        record.aim, record.deadline = milliseconds(request.aim), milliseconds(request.deadline - request.arrived)
+        if request.prefix:
+            record.shared, record.prefix = sum(n for _, n in request.prefix[:-1]), shared_prefix(request.prefix)
+        return record
+
+    def _record_quota(self, request: Request, ticket: QuotaTicket) -> None:
+        """Notes how the tokens were had; a refusal ends the record."""
+        record = request.record
+        if record is None:
+            return
+        record.quota_tokens, record.quota_asked = ticket.tokens, ticket.asked
+        record.quota_wait = milliseconds(time.monotonic() - request.arrived)
+        if not ticket.is_valid:
+            self._tools.decision_log.finish(record, request.arrived, 429, ticket.retry_after_s)
+
     def _find_home(self, request: Request) -> None:
         """Names the server that keeps the shared parts of a prompt, where these are worth asking."""
         shared = sum(tokens for _, tokens in request.prefix[:-1])
--- a/ochrespan/data_plane/placement.py
+++ b/ochrespan/data_plane/placement.py
@@ -13,6 +13,7 @@
 from hashlib import blake2b
 from heapq import nlargest
 
+from .decision_record import ANY, HOME, MOVED
 from .reading_times import ReadingTimes, token_cost
 from .server_state import ServerState
 
@@ -106,6 +107,15 @@
             return True
         return server.keeps(prompt.key, now) or self._ranked(prompt)[0] is server
 
+    def choice(self, prompt: Prompt, server: ServerState) -> str:
+        """Why a request went to this server, for its record."""
+        if not prompt.shared:
+            return ANY
+        ranked = self._ranked(prompt)
+        if ranked[0] is server:
+            return HOME
+        return MOVED if server in ranked else ANY
+
     def best(
         self, now: float, prompt: Prompt, tried: Sequence[str], usable: Callable[[ServerState], bool]
     ) -> ServerState | None:
--- a/ochrespan/data_plane/quota_ticket.py
+++ b/ochrespan/data_plane/quota_ticket.py
@@ -24,9 +24,11 @@
 class QuotaTicket:
     """Tokens count when a request reaches its server, so they are renewed where it is sent much later."""
 
-    __slots__ = ("_quotas", "_tenant", "_taken")
+    __slots__ = ("asked", "tokens", "_quotas", "_tenant", "_taken")
 
     def __init__(self, quotas: Quotas, tenant: str, tokens: float) -> None:
+        self.tokens = tokens
+        self.asked = 1  # times that the desk asked for these tokens
         self._quotas = quotas
         self._tenant = tenant
         self._taken = quotas.take(tenant, tokens)
@@ -73,7 +75,9 @@
                 break
             client.pause(pause)
             if time.monotonic() - self._asked_at[tenant] >= ASK_INTERVAL_S:
+                asked = ticket.asked + 1
                 ticket = self._ask(tenant, tokens)
+                ticket.asked = asked
         return ticket
 
     def _ask(self, tenant: str, tokens: float) -> QuotaTicket:
--- a/ochrespan/data_plane/router_node.py
+++ b/ochrespan/data_plane/router_node.py
@@ -14,6 +14,7 @@
 from ..observability.registry import Registry
 from ..transport.tcp import Address, parse_address
 from .deadlines import DeadlineHeap
+from .decision_record import DecisionLog
 from .decisions import Server
 from .dispatcher import Dispatcher, SchedulerLike
 from .exchange import ExchangeTools
@@ -87,7 +88,9 @@
         registry = Registry()
         self._dispatcher = Dispatcher(scheduler, deadlines, RouterFigures(registry))
         self._pools = ServerPools(deadlines)
-        self._front = Front(ExchangeTools(self._dispatcher, self._pools, deadlines), table_is_fresh, quotas, homes)
+        self.decision_log = DecisionLog()
+        tools = ExchangeTools(self._dispatcher, self._pools, deadlines, self.decision_log)
+        self._front = Front(tools, table_is_fresh, quotas, homes)
         self.ingress = IngressServer(front, self._front, deadlines, limits.client_connections, limits.body_bytes)
         self._readiness = ReadinessServer(ready, self.is_ready, self.set_drained, registry)
         self._stopping = False
--- a/ochrespan/data_plane/scheduler.py
+++ b/ochrespan/data_plane/scheduler.py
@@ -13,6 +13,7 @@
 from itertools import count
 from math import ceil, inf
 
+from .decision_record import AttemptRecord, milliseconds
 from .decisions import NEVER_RAN, Action, Fail, Outcome, Refuse, Request, Send, Server
 from .flow_queues import Job
 from .flows import FlowTable
@@ -92,6 +93,8 @@
             return []
         pool = self._pool(now, job.request.service)
         if job.server is not None:
+            if job.request.record is not None:
+                _record_end(now, job, Outcome.CANCELLED)
             pool.judge_silence(now, job.server, job.server.ended(now, request_id))
         self._close(job)
         self._pump(now, pool)
@@ -106,6 +109,8 @@
         if attempt.answered:
             return
         job.server.answered(now, request_id, latency_s, job.request.aim)
+        if job.request.record is not None:
+            job.request.record.attempts[-1].first = milliseconds(now - job.request.arrived)
         pool.placement.times.observe(attempt.route, attempt.cost, latency_s)
         if not job.started:  # a stream that was taken up elsewhere has missed nothing by that
             job.flow.answered(now - job.request.arrived, job.request.aim)
@@ -125,6 +130,8 @@
         attempt = server.ended(now, request_id)
         if attempt is not None:
             pool.judge(now, server, outcome, attempt)
+        if job.request.record is not None:
+            _record_end(now, job, outcome)
         if outcome not in NEVER_RAN:
             job.may_have_run = True
         if outcome is Outcome.NOT_SENT:
@@ -192,7 +199,7 @@
             return
         length = max(LEAST_LENGTH, 2 * sum(ceil(server.window) for server in pool.usable))
         while True:
-            pool.queues.promote(length)
+            pool.queues.promote(now, length)
             found = self._pick(now, pool)
             if found is None:
                 return
@@ -211,12 +218,18 @@
     def _place(self, now: float, pool: Pool, job: Job) -> ServerState | None:
         return pool.placement.best(now, job.prompt, job.tried, lambda server: server.has_room(now))
 
-    def _send(self, now: float, pool: Pool, job: Job, server: ServerState) -> None:
+    def _send(
+        self, now: float, pool: Pool, job: Job, server: ServerState, beyond_window: bool = False
+    ) -> None:
         request, flow = job.request, job.flow
         times, wait = pool.placement.times, server.queue_wait(now)
-        cost = job.prompt.cost(pool.placement.is_kept(now, server, job.prompt))
+        kept = pool.placement.is_kept(now, server, job.prompt)
+        cost = job.prompt.cost(kept)
         expected = times.expected(request.route, cost, UNKNOWN_BASE * request.aim)
         attempt = Attempt(now, request.route, cost, expected, wait)
+        if request.record is not None:
+            choice = pool.placement.choice(job.prompt, server)
+            request.record.attempts.append(_attempt_record(now, job, server, choice, beyond_window, kept, attempt))
         server.sent(now, request.id, attempt, times.pace * cost, job.prompt.key if job.prompt.shared else "")
         if job.servers:
             pool.budget.spend(now)
@@ -256,8 +269,8 @@
             return False
         if job.attempts and not self._may_retry(now, pool, job, Outcome.REJECTED_FULL):
             return False
-        pool.queues.charge(job)
-        self._send(now, pool, job, server)
+        pool.queues.charge(now, job)
+        self._send(now, pool, job, server, beyond_window=True)
         return True
 
     def _give_up(self, now: float, pool: Pool, job: Job, status: int) -> None:
@@ -281,3 +294,24 @@
     def _take_actions(self) -> list[Action]:
         actions, self._actions = self._actions, []
         return actions
+
+
+def _attempt_record(
+    now: float, job: Job, server: ServerState, choice: str, beyond_window: bool, kept: bool, attempt: Attempt
+) -> AttemptRecord:
+    return AttemptRecord(
+        server.server.id,
+        choice,
+        beyond_window,
+        kept,
+        promoted=milliseconds(job.promoted_at - job.request.arrived),
+        sent=milliseconds(now - job.request.arrived),
+        expected_reading=milliseconds(attempt.expected),
+        expected_wait=milliseconds(attempt.wait),
+    )
+
+
+def _record_end(now: float, job: Job, outcome: Outcome) -> None:
+    """Of the running attempt."""
+    attempt = job.request.record.attempts[-1]
+    attempt.ended, attempt.outcome = milliseconds(now - job.request.arrived), outcome.value
--- a/ochrespan/programs/router_process.py
+++ b/ochrespan/programs/router_process.py
@@ -22,7 +22,7 @@
 from ..data_plane.scheduler import Scheduler
 from ..observability import logs
 from ..transport.tcp import Address, parse_address
-from .settings import Settings, SettingsFile, bound, secure_peers, settings_path
+from .settings import DEFAULT_DECISION_RECORDS, Settings, SettingsFile, bound, secure_peers, settings_path
 
 log = logging.getLogger(__name__)
 
@@ -72,6 +72,10 @@
             homes,
             table_is_fresh=lambda: self._feed.controller is not None,
         )
+        self._set_records(settings)
+
+    def _set_records(self, settings: Settings) -> None:
+        self._node.decision_log.share = settings.get("decision_records", DEFAULT_DECISION_RECORDS)
 
     def start(self) -> None:
         """Begins to listen and to follow the feed."""
@@ -90,6 +94,7 @@
     def settings_changed(self, settings: Settings) -> None:
         """Takes over what may change while the process runs."""
         self._settings = settings
+        self._set_records(settings)
         seeds = seed_peer_addresses(settings)
         self._feed.seeds_changed(seeds)
         self._membership.seeds_changed(seeds)
--- a/ochrespan/programs/settings.py
+++ b/ochrespan/programs/settings.py
@@ -33,6 +33,7 @@
 log = logging.getLogger(__name__)
 
 RELOAD_INTERVAL_S = 1.0
+DEFAULT_DECISION_RECORDS = 0.0  # part of the requests whose decisions a router records
 
 
 def _address(value: Any, where: str, findings: Findings) -> None:
@@ -53,6 +54,11 @@
         report(findings, where, show(value), ", ".join(LEVELS))
 
 
+def _share(value: Any, where: str, findings: Findings) -> None:
+    if type(value) not in (int, float) or not 0 <= value <= 1:
+        report(findings, where, show(value), "a number from 0 to 1")
+
+
 class Listen(TypedDict):
     """Addresses for what a process serves; which of them are given depends on its role."""
 
@@ -111,6 +117,7 @@
     fault_tolerance: NotRequired[Annotated[FaultTolerance, typed(FaultTolerance)]]
     bounds: NotRequired[dict[str, Any]]
     peer_tls: NotRequired[Annotated[PeerTls | None, optional(typed(PeerTls))]]
+    decision_records: NotRequired[Annotated[float, _share]]
     log_level: NotRequired[Annotated[str, _log_level]]
 
 
--- a/tests/fleet_standins.py
+++ b/tests/fleet_standins.py
@@ -14,6 +14,7 @@
 
 from ochrespan.control_plane.views import ClientLimits, ConfigurationView, QuotaUnit, Route, RouteType, Split, Tenant
 from ochrespan.data_plane.deadlines import DeadlineHeap
+from ochrespan.data_plane.decision_record import DecisionLog
 from ochrespan.data_plane.decisions import Fail, Outcome, Refuse, Request, Send, Server
 from ochrespan.data_plane.dispatcher import Dispatcher
 from ochrespan.data_plane.exchange import ExchangeTools
@@ -301,12 +302,14 @@
 
 @contextmanager
 def router(
-    scheduler: Any = None, max_connections: int = 100, quotas: Any = None, max_body_bytes: int = 10_000_000
-) -> Iterator[Router]:
+    scheduler: Any = None, max_connections: int = 100, quotas: Any = None, max_body_bytes: int = 10_000_000,
+    decision_log: DecisionLog | None = None,
+) -> Iterator[Router]:  # fmt: skip
     deadlines = DeadlineHeap(gevent.get_hub().loop)
     scheduler = scheduler or PlainScheduler()
     dispatcher, pools = Dispatcher(scheduler, deadlines), ServerPools(deadlines)
-    front = Front(ExchangeTools(dispatcher, pools, deadlines), lambda: made.fresh, quotas)
+    tools = ExchangeTools(dispatcher, pools, deadlines, decision_log or DecisionLog())
+    front = Front(tools, lambda: made.fresh, quotas)
     server = IngressServer(("127.0.0.1", 0), front, deadlines, max_connections, max_body_bytes)
     made = Router(scheduler, front, server, pools, dispatcher)
     server.start()
--- a/tests/test_fleet_settings.py
+++ b/tests/test_fleet_settings.py
@@ -47,6 +47,8 @@
     ({"heartbeat_ms": 0}, "heartbeat_ms"),
     ({"limits": {"max_fds": -1}}, "limits.max_fds"),
     ({"fault_tolerance": {"machines": 1.5}}, "fault_tolerance.machines"),
+    ({"decision_records": 1.5}, "decision_records"),
+    ({"decision_records": True}, "decision_records"),
 ])
 def test_a_bad_field_is_told_by_place_found_and_allowed(changes, where):
     with pytest.raises(CheckFailed) as caught:
