Homes: the owner tells that the parts have still to be read, and such prompts count whole

Cause: a router took the shared parts of a prompt for kept as soon as it knew their server, also at the very first request for them.

Change: the answer that places a prefix says so (is_new); that request's cost, Priority and the wait behind it go by the whole prompt, also where no owner answered.

The new tests fail without the change.

--- a/ochrespan/control_plane/home_client.py
+++ b/ochrespan/control_plane/home_client.py
@@ -12,6 +12,7 @@
 
 ANSWER_TIMEOUT_S = 0.05  # a request is on its way meanwhile; without an answer it goes by a hash
 SILENT_OWNER_PAUSE_S = 0.5  # where no owner answered, none is asked again for this long
+UNKNOWN = Home("")
 MOST_KNOWN = 8192  # prefixes; those used longest ago are forgotten
 
 
@@ -32,28 +33,27 @@
         self._known: OrderedDict[tuple[str, str], str] = OrderedDict()
         self._silent_until: dict[str, float] = {}
 
-    def home(self, service: str, prefix: str, tokens: float) -> str:
+    def home(self, service: str, prefix: str, tokens: float) -> Home:
         """The instance that keeps the prefix, empty where nobody says; may wait for a short time."""
         key = (service, prefix)
         known = self._known.get(key, "")
         if known and self._is_usable(service, known):
             self._known.move_to_end(key)
-            return known
+            return Home(known)
         if self._clock() < self._silent_until.get(service, 0.0):
-            return ""
+            return UNKNOWN
         found = self._ask(HomeRequest(service, prefix, float(tokens), known))
         if found is None:
             self._silent_until[service] = self._clock() + SILENT_OWNER_PAUSE_S
-            return ""
-        if not found or not self._is_usable(service, found):
-            return ""
-        self._known[key] = found
+            return UNKNOWN
+        if not found.instance or not self._is_usable(service, found.instance):
+            return UNKNOWN
+        self._known[key] = found.instance
         while len(self._known) > MOST_KNOWN:
             self._known.popitem(last=False)
         return found
 
-    def _ask(self, request: HomeRequest) -> str | None:
+    def _ask(self, request: HomeRequest) -> Home | None:
         """The owner's word; None where no owner answered."""
         about = f"service={request.service}"
-        found = ask_owner(self._call, self._ask_at(request.service), request, Home, ANSWER_TIMEOUT_S, about)
-        return None if found is None else found.instance
+        return ask_owner(self._call, self._ask_at(request.service), request, Home, ANSWER_TIMEOUT_S, about)
--- a/ochrespan/control_plane/home_messages.py
+++ b/ochrespan/control_plane/home_messages.py
@@ -24,3 +24,4 @@
     """The instance that keeps the shared parts; empty where the service has none."""
 
     instance: str
+    is_new: bool = False  # placed by this question: the instance has still to read the parts
--- a/ochrespan/control_plane/home_owner.py
+++ b/ochrespan/control_plane/home_owner.py
@@ -72,7 +72,7 @@
             return Home("")
         instance = min(ready, key=lambda name: (machine.homes.tokens(name) + fresh.tokens(name), name))
         self._place(service, (request.prefix, instance, request.tokens))
-        return Home(instance)
+        return Home(instance, is_new=True)
 
     def _place(self, service: str, entry: tuple[str, str, float]) -> None:
         self._fresh[service].assign(AssignHomes(service, [entry]))
--- a/ochrespan/data_plane/decisions.py
+++ b/ochrespan/data_plane/decisions.py
@@ -28,6 +28,7 @@
     prefix: tuple[tuple[str, int], ...] = ()  # parts of the prompt in order: id and tokens
     arrived: float = 0.0
     home: str = ""  # the server that keeps the shared parts, where that is known
+    is_unread: bool = False  # no server is known to have read the shared parts
     record: DecisionRecord | None = None  # where its decisions are recorded
 
 
--- a/ochrespan/data_plane/front.py
+++ b/ochrespan/data_plane/front.py
@@ -24,6 +24,7 @@
 from .server_request import ServerRequest
 
 if TYPE_CHECKING:
+    from ..control_plane.home_messages import Home
     from ..control_plane.views import Tenant
 
 log = logging.getLogger(__name__)
@@ -48,7 +49,7 @@
 class Homes(Protocol):
     """What is used of `control_plane.home_client.HomeClient`; the call may wait for a short time."""
 
-    def home(self, service: str, prefix: str, tokens: float) -> str: ...
+    def home(self, service: str, prefix: str, tokens: float) -> Home: ...
 
 
 class Front:
@@ -146,7 +147,8 @@
         """Names the server that keeps the shared parts of a prompt, where these are worth asking."""
         shared = sum(tokens for _, tokens in request.prefix[:-1])
         if self._homes is not None and shared >= LEAST_SHARED_TOKENS:
-            request.home = self._homes.home(request.service, shared_prefix(request.prefix), shared)
+            home = self._homes.home(request.service, shared_prefix(request.prefix), shared)
+            request.home, request.is_unread = home.instance, home.is_new or not home.instance
 
     def _deny(self, status: int, text: str, request_id: str) -> OwnAnswer:
         """A denial; where the table may be old, the client is told to come back instead."""
--- a/ochrespan/data_plane/placement.py
+++ b/ochrespan/data_plane/placement.py
@@ -79,6 +79,7 @@
     aim: float
     route: str
     home: str = ""  # the server that keeps the shared parts, where that is known
+    is_unread: bool = False  # no server is known to have read them
 
     def cost(self, kept: bool) -> float:
         """Of reading it, as `token_cost` has it."""
@@ -105,7 +106,7 @@
         """Whether the server is taken to have the shared parts of the prompt in memory."""
         if not prompt.shared:
             return True
-        return server.keeps(prompt.key, now) or self._ranked(prompt)[0] is server
+        return server.keeps(prompt.key, now) or (not prompt.is_unread and self._ranked(prompt)[0] is server)
 
     def choice(self, prompt: Prompt, server: ServerState) -> str:
         """Why a request went to this server, for its record."""
--- a/ochrespan/data_plane/scheduler.py
+++ b/ochrespan/data_plane/scheduler.py
@@ -77,7 +77,9 @@
         units = max(1.0, (request.tokens_in + ANSWER_COST * request.tokens_out) / TOKENS_PER_UNIT)
         shared = sum(tokens for _, tokens in request.prefix[:-1])
         own = max(0, request.tokens_in - shared)
-        prompt = Prompt(shared_prefix(request.prefix), shared, own, request.aim, request.route, request.home)
+        prompt = Prompt(
+            shared_prefix(request.prefix), shared, own, request.aim, request.route, request.home, request.is_unread
+        )
         job = Job(request, flow, units, prompt)
         self._jobs[request.id] = job
         pool = self._pool(now, request.service)
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -158,22 +158,35 @@
 
 def test_a_router_asks_once_for_a_prefix_and_anew_when_its_server_is_gone():
     made = Calls(Home("i1"), Home("i2"))
-    assert [made.client.home("llm", "p", 1000) for _ in range(3)] == ["i1"] * 3
+    assert [made.client.home("llm", "p", 1000) for _ in range(3)] == [Home("i1")] * 3
     made.usable.discard("i1")
-    assert made.client.home("llm", "p", 1000) == "i2"
+    assert made.client.home("llm", "p", 1000) == Home("i2")
     assert made.asked == [(OWNER, ""), (OWNER, "i1")]
 
 
 def test_a_router_follows_to_the_owner_and_does_without_one_for_a_while():
     made = Calls(NotTheOwner(*OTHER), Home("i1"), CallFailed("no"), Home("i2"))
-    assert made.client.home("llm", "p", 1000) == "i1"
+    assert made.client.home("llm", "p", 1000) == Home("i1")
     assert [address for address, _ in made.asked] == [OWNER, OTHER]
-    assert made.client.home("llm", "q", 1000) == "" and made.client.home("llm", "q", 1000) == ""
+    assert [made.client.home("llm", "q", 1000) for _ in range(2)] == [Home("")] * 2
     assert len(made.asked) == 3
     made.now += SILENT_OWNER_PAUSE_S
-    assert made.client.home("llm", "q", 1000) == "i2"
+    assert made.client.home("llm", "q", 1000) == Home("i2")
 
 
 def test_a_server_that_the_router_does_not_know_is_not_taken():
     made = Calls(Home("i9"))
-    assert made.client.home("llm", "p", 1000) == ""
+    assert made.client.home("llm", "p", 1000) == Home("")
+
+
+def test_the_owner_tells_once_that_the_parts_have_still_to_be_read():
+    made = Owner()
+    answers = [made.owner.home(HomeRequest("llm", "p", 1000.0)) for _ in range(2)]
+    assert [answer.is_new for answer in answers] == [True, False]
+    moved = made.owner.home(HomeRequest("llm", "p", 1000.0, answers[0].instance))
+    assert moved.is_new and moved.instance != answers[0].instance
+
+
+def test_a_router_takes_a_prefix_for_new_at_its_first_request_only():
+    made = Calls(Home("i1", is_new=True))
+    assert [made.client.home("llm", "p", 1000).is_new for _ in range(2)] == [True, False]
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -34,3 +34,23 @@
         sent += submit(made, number, like=PLAIN, priority=priority, route=f"route{priority}")
     assert all(isinstance(action, Send) for action in sent)
     assert sent[2].priority < sent[3].priority
+
+
+def test_a_prompt_whose_shared_parts_no_server_has_read_counts_whole():
+    subject = {"prefix": (("subject", 16_000), ("own", 1000)), "tokens_in": 17_000, "home": "i1"}
+    made = scheduler()
+    (unread,) = submit(made, 1, **subject, is_unread=True)
+    (kept,) = submit(made, 2, **subject, is_unread=True)  # sent there a moment ago, so it is kept by then
+    assert (unread.server_id, kept.server_id) == ("i1", "i1")
+    assert unread.priority > kept.priority
+    (known,) = submit(scheduler(), 3, **subject)
+    assert known.priority == kept.priority
+
+
+def test_the_wait_behind_an_unread_prompt_is_expected():
+    made = scheduler()
+    subject = {"prefix": (("subject", 50_000), ("own", 1000)), "tokens_in": 51_000, "home": "i1"}
+    submit(made, 1, **subject, is_unread=True)
+    small = {"prefix": (("other", 300), ("own", 100)), "tokens_in": 400, "home": "i1"}
+    (action,) = submit(made, 2, **small)
+    assert action.server_id != "i1"
