Front: owners are asked while the body comes, and may take longer to name a home

Change: both questions are asked once the head is there; a home may take 150 ms. Refusals still come behind the body, and tokens of a request whose body does not come are given back.

--- a/ochrespan/control_plane/home_client.py
+++ b/ochrespan/control_plane/home_client.py
@@ -10,7 +10,7 @@
 from .home_messages import Home, HomeRequest
 from .owner_calls import Call, ask_owner
 
-ANSWER_TIMEOUT_S = 0.05  # a request is on its way meanwhile; without an answer it goes by a hash
+ANSWER_TIMEOUT_S = 0.15  # bodies of requests hold answers up on a narrow link; without one a request goes by a hash
 SILENT_OWNER_PAUSE_S = 0.5  # where no owner answered, none is asked again for this long
 UNKNOWN = Home("")
 MOST_KNOWN = 8192  # prefixes; those used longest ago are forgotten
--- a/ochrespan/data_plane/front.py
+++ b/ochrespan/data_plane/front.py
@@ -7,6 +7,7 @@
 import re
 import time
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Protocol
 
 from gevent.event import Event
@@ -52,6 +53,15 @@
     def home(self, service: str, prefix: str, tokens: float) -> Home: ...
 
 
+@dataclass(slots=True)
+class Admitted:
+    """A request that may be served once its body has come."""
+
+    request_id: str  # the client's
+    request: Request
+    ticket: QuotaTicket | None
+
+
 class Front:
     """Serves by the table in force, which is replaced whole. `is_fresh` tells whether the table surely is current."""
 
@@ -84,11 +94,34 @@
         client: ClientConnection = environ[CONNECTION_KEY]
         head: RequestHead = environ[HEAD_KEY]
         arrived = time.monotonic()
-        body = client.read_body(head, self.limits)
-        found = self._admit(client, head, body, arrived)
-        return found.respond(start_response)
-
-    def _admit(self, client: ClientConnection, head: RequestHead, body: bytes, arrived: float) -> Exchange | OwnAnswer:
+        try:
+            found = self._admit(client, head, arrived)  # asks the owners while the body comes
+        except RequestRefused:
+            client.read_body(head, self.limits)
+            raise
+        body = self._read_body(client, head, found)
+        if isinstance(found, OwnAnswer):
+            return found.respond(start_response)
+        server_request = ServerRequest(head, found.request_id, body, found.request.tenant or None)
+        return Exchange(self._tools, client, found.request, server_request, found.ticket).respond(start_response)
+
+    def _read_body(self, client: ClientConnection, head: RequestHead, found: Admitted | OwnAnswer) -> bytes:
+        """The whole body; where it does not come, what was admitted is given up."""
+        try:
+            return client.read_body(head, self.limits)
+        except BaseException:
+            if isinstance(found, Admitted):
+                self._give_up(found)
+            raise
+
+    def _give_up(self, admitted: Admitted) -> None:
+        """The request will not be sent."""
+        if admitted.ticket is not None:
+            admitted.ticket.release()
+        if admitted.request.record is not None:
+            self._tools.decision_log.finish(admitted.request.record, admitted.request.arrived, status=0)
+
+    def _admit(self, client: ClientConnection, head: RequestHead, arrived: float) -> Admitted | OwnAnswer:
         if self.table is None:
             share_s = FIRST_TABLE_WAIT_SHARE * _deadline_ms(head) / 1000
             self._first_table.wait(min(FIRST_TABLE_WAIT_S, share_s))
@@ -118,8 +151,7 @@
             if not ticket.is_valid:
                 return over_quota(request_id, ticket.retry_after_s)
         self._find_home(request)
-        server_request = ServerRequest(head, request_id, body, tenant.name if tenant else None)
-        return Exchange(self._tools, client, request, server_request, ticket)
+        return Admitted(request_id, request, ticket)
 
     def _record(self, request_id: str, request: Request) -> DecisionRecord | None:
         """The begun record of a request that is sampled."""
--- a/tests/test_router_quotas.py
+++ b/tests/test_router_quotas.py
@@ -142,3 +142,64 @@
         client.ask(headers=USAGE, id="sent")
         assert client.read_answer().status == 200
     assert len(quotas.released) == 1
+
+
+BODY = b"x" * 1000
+HEAD = "POST /a HTTP/1.1\r\nHost: models.example\r\nX-Request-Id: q1\r\nX-Deadline-Ms: 5000\r\nContent-Length: 1000\r\n"
+
+
+def part_of_a_request(made, quotas, headers: str = USAGE):
+    """Sends a head and half of the body, and waits until tokens were asked for."""
+    client = made.client()
+    client.send((HEAD + headers + "\r\n").encode() + BODY[:500])
+    with gevent.Timeout(5):
+        while not quotas.taken:
+            gevent.idle()
+    return client
+
+
+def test_tokens_are_asked_for_while_the_body_comes():
+    quotas, server = ScriptedQuotas([UNLIMITED]), StandInServer(answer())
+    with router(quotas=quotas) as made:
+        made.use(configuration(route(), tenants=(limited(),)), server)
+        client = part_of_a_request(made, quotas)
+        assert not made.scheduler.submitted
+        client.send(BODY[500:])
+        assert client.read_answer().status == 200
+    assert server.requests[0].body == BODY
+
+
+def test_tokens_of_a_request_whose_body_does_not_come_are_released():
+    quotas = ScriptedQuotas([UNLIMITED])
+    with router(quotas=quotas) as made:
+        made.use(configuration(route(), tenants=(limited(),)), StandInServer(answer()))
+        part_of_a_request(made, quotas).close()
+        with gevent.Timeout(5):
+            while not quotas.released:
+                gevent.idle()
+    assert quotas.released == [("acme", UNLIMITED)] and not made.scheduler.submitted
+
+
+@pytest.mark.parametrize(
+    ("takes", "headers", "status"),
+    [([REFUSED], USAGE, 429), ([UNLIMITED], "X-Credential: other\r\n", 401)],
+)
+def test_a_refusal_leaves_the_connection_in_step_behind_the_body(takes, headers, status):
+    quotas = ScriptedQuotas([*takes, UNLIMITED])
+    with router(quotas=quotas) as made:
+        made.use(configuration(route(), tenants=(limited(),)), StandInServer(answer()))
+        client = made.client()
+        client.send((HEAD + headers + "\r\n").encode() + BODY[:500])
+        gevent.idle()
+        client.send(BODY[500:])
+        assert client.read_answer().status == status
+        client.ask(headers=USAGE, id="q2")
+        assert client.read_answer().status == 200
+
+
+def test_a_bad_field_is_answered_behind_the_body():
+    with router(quotas=ScriptedQuotas([UNLIMITED])) as made:
+        made.use(configuration(route(), tenants=(limited(),)), StandInServer(answer()))
+        client = made.client()
+        client.send((HEAD + "X-Token-Usage: many\r\nX-Credential: key\r\n\r\n").encode() + BODY)
+        assert client.read_answer().status == 400
