--- a/tests/test_attempt_ends.py
+++ b/tests/test_attempt_ends.py
@@ -46,10 +46,8 @@
 }  # fmt: skip
 
 
-@pytest.mark.parametrize("kind", [SAFE, UNSAFE])
-@pytest.mark.parametrize("name", NOT_RUN)
-def test_what_has_not_run_goes_to_another_server(name, kind):
-    step, outcome = NOT_RUN[name]
+def served_by_the_second(kind: str, step, outcome: Outcome) -> tuple[StandInServer, StandInServer]:
+    """Asks a router whose first server takes this step, and checks that the client has the second's whole answer."""
     first, second = StandInServer(step), StandInServer(answer(b"from the second"))
     with router() as made:
         made.use(configuration(route(kind=kind)), first, second)
@@ -58,20 +56,19 @@
         got = client.read_answer()
         assert (got.status, got.body, got.whole) == (200, b"from the second", True)
         assert made.scheduler.outcomes == [outcome, Outcome.DONE]
-        assert [server.requests[0].id for server in (first, second)] == ["q1", "q1"]
+    return first, second
+
+
+@pytest.mark.parametrize("kind", [SAFE, UNSAFE])
+@pytest.mark.parametrize("name", NOT_RUN)
+def test_what_has_not_run_goes_to_another_server(name, kind):
+    first, second = served_by_the_second(kind, *NOT_RUN[name])
+    assert [server.requests[0].id for server in (first, second)] == ["q1", "q1"]
 
 
 @pytest.mark.parametrize("name", MAY_HAVE_RUN)
 def test_what_may_have_run_is_repeated_where_that_is_safe(name):
-    step, outcome = MAY_HAVE_RUN[name]
-    first, second = StandInServer(step), StandInServer(answer(b"from the second"))
-    with router() as made:
-        made.use(configuration(route(kind=SAFE)), first, second)
-        client = made.client()
-        client.ask()
-        got = client.read_answer()
-        assert (got.status, got.body, got.whole) == (200, b"from the second", True)
-        assert made.scheduler.outcomes == [outcome, Outcome.DONE]
+    served_by_the_second(SAFE, *MAY_HAVE_RUN[name])
 
 
 @pytest.mark.parametrize("name", MAY_HAVE_RUN)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -178,31 +178,27 @@
         assert got.body == event(1) + event(2) + event(3) and got.whole
 
 
-def test_lines_of_versions_and_comments_pass_unchanged():
-    pieces = [b": ping\n\n", b"versions: 4\nid: 1\ndata: a\ndata: id: 9\n\n", b"id: 2\r\ndata: b\r\n\r\n"]
-    server = StandInServer(
-        raw(STREAM_HEAD.format(id="ID", stamp="s").encode() + b"".join(map(chunk, pieces)) + b"0\r\n\r\n")
-    )
+def answer_of_chunks(pieces: list[bytes]) -> bytes:
+    """The body of the whole answer to a client whose server streams these chunks."""
+    stream_of_chunks = STREAM_HEAD.format(id="ID", stamp="s").encode() + b"".join(map(chunk, pieces)) + b"0\r\n\r\n"
     with router() as made:
-        made.use(configuration(NOT_RESUMABLE), server)
+        made.use(configuration(NOT_RESUMABLE), StandInServer(raw(stream_of_chunks)))
         client = made.client()
         client.ask()
         got = client.read_answer()
-        assert got.body == b"".join(pieces) and got.whole
+    assert got.whole
+    return got.body
+
+
+def test_lines_of_versions_and_comments_pass_unchanged():
+    pieces = [b": ping\n\n", b"versions: 4\nid: 1\ndata: a\ndata: id: 9\n\n", b"id: 2\r\ndata: b\r\n\r\n"]
+    assert answer_of_chunks(pieces) == b"".join(pieces)
 
 
 def test_events_that_are_split_over_chunks_and_share_them_stay_whole():
     events = b"".join(event(number) for number in range(1, 40))
     pieces = [events[start : start + 17] for start in range(0, len(events), 17)]
-    server = StandInServer(
-        raw(STREAM_HEAD.format(id="ID", stamp="s").encode() + b"".join(map(chunk, pieces)) + b"0\r\n\r\n")
-    )
-    with router() as made:
-        made.use(configuration(NOT_RESUMABLE), server)
-        client = made.client()
-        client.ask()
-        got = client.read_answer()
-        assert got.body == events and got.whole
+    assert answer_of_chunks(pieces) == events
 
 
 def test_a_stream_that_ends_within_an_event_is_not_whole():
