--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -23,6 +23,8 @@
 from benchmarks.fleet_model import FleetModel, worth_of
 from benchmarks.paired_rounds import interval
 from ochrespan.data_plane import flow_queues, flows, placement, scheduler, server_state, service_pool, urgency
+from ochrespan.data_plane.decision_record import HOME
+from ochrespan.data_plane.server_state import ServerState
 from ochrespan.policy import arr
 
 
@@ -66,6 +68,15 @@
     return None
 
 
+def _counted_as_kept(placed: placement.Placement, now: float, server: ServerState, prompt: placement.Prompt) -> bool:
+    """As if every home had read what it keeps."""
+    return not prompt.shared or server.keeps(prompt.key, now) or placed.choice(prompt, server) == HOME
+
+
+def _not_dealt(model: FleetModel, parts: object) -> tuple[str, bool]:
+    return "", False
+
+
 def _zero(*_: object) -> float:
     return 0.0
 
@@ -84,6 +95,8 @@
     Switch("window, cap under the capacity", ((server_state, "HEADROOM", 1e9),)),
     Switch("Priority by size", ((urgency, "MOST_SIZE", 0),)),
     Switch("Priority by rank", ((urgency, "STEPS", 0),)),
+    Switch("homes dealt by their owner", ((FleetModel, "_home", _not_dealt),)),
+    Switch("first readings count whole", ((placement.Placement, "is_kept", _counted_as_kept),)),
     Switch("leaving a home", ((placement, "WORTH_MOVING", 0.0),)),
     Switch("staying at a home", ((placement, "MOVE_COST", 1.0),)),
     Switch("refusal by hopeless waits", ((scheduler, "HOPELESS", inf),)),
@@ -103,7 +116,7 @@
             replaced.enter_context(patch.object(owner, name, value))
         model = FleetModel(
             deployment.routers, deployment.servers, deployment.load, seed, figures=deployment.figures,
-            tenants=deployment.tenants,
+            tenants=deployment.tenants, deals_homes=True,
         )  # fmt: skip
         model.run(deployment.seconds)
         return worth_of(model)
--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -15,6 +15,8 @@
 from statistics import mean, stdev
 
 from benchmarks.engine_model import Engine, EngineFigures, Work
+from ochrespan.data_plane.front import LEAST_SHARED_TOKENS
+from ochrespan.data_plane.placement import shared_prefix
 from ochrespan.data_plane.scheduler import Fail, Outcome, Refuse, Request, Scheduler, Send, Server
 
 LINK_S = 0.001  # between a router and a server
@@ -88,9 +90,13 @@
     def __init__(
         self, routers: int, servers: int, load: float, seed: int, kinds: tuple[Kind, ...] = INSPECTION,
         figures: EngineFigures | None = None, tenants: int = 5, hot: dict[str, float] | None = None,
+        deals_homes: bool = False,
     ) -> None:  # fmt: skip
-        """`hot`: by kind, the part of its requests that are about one subject."""
+        """`hot`: by kind, the part of its requests about one subject; `deals_homes`: as the owner of a service does."""
         self.hot = hot or {}
+        self.deals_homes = deals_homes
+        self.homes: dict[str, str] = {}  # by shared prefix
+        self.dealt: Counter[str] = Counter()  # tokens by server
         self.lot = random.Random(seed)
         self.kinds, self.load, self.tenants = kinds, load, tenants
         self.figures = figures or EngineFigures()
@@ -162,13 +168,27 @@
                 self.sizes[part] = log_normal(self.lot, *size)
             parts.append((part, self.sizes[part]))
         parts.append((name, log_normal(self.lot, *kind.own)))
+        home, is_new = self._home(parts) if self.deals_homes else ("", False)
         return Request(
             id=name, service="llm", tenant=f"t{self.lot.randrange(self.tenants)}", route=kind.name,
             priority=kind.priority, safe=False, resumable=kind.safe, streaming=True, aim=kind.aim,
             deadline=self.now + kind.timeout, max_servers=1, tokens_in=sum(tokens for _, tokens in parts),
-            tokens_out=log_normal(self.lot, *kind.out), prefix=tuple(parts), arrived=self.now,
+            tokens_out=log_normal(self.lot, *kind.out), prefix=tuple(parts), arrived=self.now, home=home,
+            is_unread=is_new,
         )  # fmt: skip
 
+    def _home(self, parts: list[tuple[str, int]]) -> tuple[str, bool]:
+        """The server that keeps the shared parts, the one with the fewest tokens at first; and whether that is new."""
+        shared = sum(tokens for _, tokens in parts[:-1])
+        if shared < LEAST_SHARED_TOKENS:
+            return "", False
+        key = shared_prefix(parts)
+        if key in self.homes:
+            return self.homes[key], False
+        home = min(self.engines, key=lambda name: (self.dealt[name], name))
+        self.homes[key], self.dealt[home] = home, self.dealt[home] + shared
+        return home, True
+
     # routers
 
     def _act(self, rank: int, actions) -> None:
