Record of decisions: a client that leaves while its request waits for tokens

Cause, found by reading the change again: the record is to be one line a request, but a client that left while its request waited for tokens of its tenant left none, since the exchange that writes it did not exist yet.

The record ends there too now; one place ends all records that have no exchange. The new test fails without it. The older test of such a client let its request wait for 3 s, longer than any may wait, so it was refused before the client left and proved nothing; it waits for 1 s now, within the bound, and its assertions are as they were.

--- a/ochrespan/data_plane/front.py
+++ b/ochrespan/data_plane/front.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Protocol
 
 from gevent.event import Event
@@ -20,7 +21,7 @@
 from .own_answers import OwnAnswer, StartResponse, over_quota
 from .placement import shared_prefix
 from .quota_ticket import Quotas, QuotaTicket, TicketDesk
-from .request_head import BAD_REQUEST, RequestHead, RequestRefused
+from .request_head import BAD_REQUEST, ClientGone, RequestHead, RequestRefused
 from .routing_table import RouteEntry, RoutingTable
 from .server_request import ServerRequest
 
@@ -118,8 +119,7 @@
         """The request will not be sent."""
         if admitted.ticket is not None:
             admitted.ticket.release()
-        if admitted.request.record is not None:
-            self._tools.decision_log.finish(admitted.request.record, admitted.request.arrived, status=0)
+        self._finish_record(admitted.request, status=0)
 
     def _admit(self, client: ClientConnection, head: RequestHead, arrived: float) -> Admitted | OwnAnswer:
         if self.table is None:
@@ -146,8 +146,7 @@
         client.answer_until = request.deadline + ANSWER_GRACE_S
         ticket = None
         if tenant is not None and self._tickets is not None:
-            ticket = self._tickets.take(client, tenant.name, cost_of(tenant, usage), _wait_for_tokens_until(request))
-            self._record_quota(request, ticket)
+            ticket = self._take_tokens(client, request, cost_of(tenant, usage))
             if not ticket.is_valid:
                 return over_quota(request_id, ticket.retry_after_s)
         self._find_home(request)
@@ -162,9 +161,24 @@
         record.priority, record.tokens_in, record.tokens_out = request.priority, request.tokens_in, request.tokens_out
         record.aim, record.deadline = milliseconds(request.aim), milliseconds(request.deadline - request.arrived)
         if request.prefix:
-            record.shared, record.prefix = sum(n for _, n in request.prefix[:-1]), shared_prefix(request.prefix)
+            record.shared, record.prefix = request.shared_tokens, shared_prefix(request.prefix)
         return record
 
+    def _take_tokens(self, client: ClientConnection, request: Request, tokens: float) -> QuotaTicket:
+        """A ticket, valid or not; raises ClientGone where the client leaves meanwhile, which ends the record too."""
+        try:
+            ticket = self._tickets.take(client, request.tenant, tokens, _wait_for_tokens_until(request))
+        except ClientGone:
+            self._finish_record(request, status=0)
+            raise
+        self._record_quota(request, ticket)
+        return ticket
+
+    def _finish_record(self, request: Request, status: int, retry_after: float | None = None) -> None:
+        """The request is over before it has an exchange."""
+        if request.record is not None:
+            self._tools.decision_log.finish(request.record, request.arrived, status, retry_after)
+
     def _record_quota(self, request: Request, ticket: QuotaTicket) -> None:
         """Notes how the tokens were had; a refusal ends the record."""
         record = request.record
@@ -173,11 +187,11 @@
         record.quota_tokens, record.quota_asked = ticket.tokens, ticket.asked
         record.quota_wait = milliseconds(time.monotonic() - request.arrived)
         if not ticket.is_valid:
-            self._tools.decision_log.finish(record, request.arrived, 429, ticket.retry_after_s)
+            self._finish_record(request, HTTPStatus.TOO_MANY_REQUESTS, ticket.retry_after_s)
 
     def _find_home(self, request: Request) -> None:
         """Names the server that keeps the shared parts of a prompt, where these are worth asking."""
-        shared = sum(tokens for _, tokens in request.prefix[:-1])
+        shared = request.shared_tokens
         if self._homes is not None and shared >= LEAST_SHARED_TOKENS:
             home = self._homes.home(request.service, shared_prefix(request.prefix), shared)
             request.home, request.is_unread = home.instance, home.is_new or not home.instance
--- a/tests/test_decision_record.py
+++ b/tests/test_decision_record.py
@@ -12,7 +12,7 @@
 from ochrespan.data_plane.scheduler import Outcome, Scheduler
 from tests.fleet_standins import StandInServer, answer, close, configuration, hold, route, router, stream, tenant
 from tests.scheduling import PLAIN, scheduler, submit
-from tests.test_router_quotas import USAGE, ScriptedQuotas
+from tests.test_router_quotas import USAGE, ScriptedQuotas, part_of_a_request
 
 LIMITED = replace(tenant("acme", "key"), unit=QuotaUnit.TOKENS, rate_per_s=1000.0)
 PROMPT = "X-Prompt-Prefix: aa:400,bb:300,cc:760\r\n"
@@ -100,6 +100,29 @@
     assert [attempt["outcome"] for attempt in record["attempts"]] == ["cancelled"]
 
 
+def test_a_client_that_leaves_while_its_request_waits_for_tokens_is_recorded():
+    written = Written()
+    quotas = ScriptedQuotas([Taken(False, 1.0)])
+    with router(decision_log=written.log, quotas=quotas) as made:
+        view = configuration(route(target_latency_ms=50_000.0), tenants=(LIMITED,))
+        client = ask(made, view, StandInServer(answer()))
+        with gevent.Timeout(5):
+            while not quotas.taken:
+                gevent.idle()
+        client.close()
+        record = written.one()
+    assert (record["status"], record["attempts"], record["tenant"]) == (0, [], "acme")
+
+
+def test_a_request_whose_body_does_not_come_is_recorded_once():
+    written = Written()
+    quotas = ScriptedQuotas([UNLIMITED])
+    with router(decision_log=written.log, quotas=quotas) as made:
+        made.use(configuration(route(), tenants=(LIMITED,)), StandInServer(answer()))
+        part_of_a_request(made, quotas).close()
+        assert written.one()["status"] == 0
+
+
 def test_a_refusal_of_the_scheduler_is_recorded_with_its_pause():
     written = Written()
     with router(decision_log=written.log) as made:
--- a/tests/test_router_quotas.py
+++ b/tests/test_router_quotas.py
@@ -88,7 +88,7 @@
 
 
 def test_a_client_that_leaves_while_its_request_waits_for_tokens_is_noticed():
-    quotas = ScriptedQuotas([Taken(False, 3.0)])
+    quotas = ScriptedQuotas([Taken(False, 1.0)])
     with router(quotas=quotas) as made:
         made.use(configuration(route(target_latency_ms=50_000.0), tenants=(limited(),)), StandInServer(answer()))
         client = made.client()
