One check of numbers, one sum of shared tokens, and no new answer for a known home

Found by reading the change again: the settings had a check of a part of its own beside number(); the tokens of shared parts were summed in three places; HomeClient made an answer anew for each request with a known home; the count of a ticket's questions was set from outside.

--- a/ochrespan/control_plane/checking.py
+++ b/ochrespan/control_plane/checking.py
@@ -93,13 +93,15 @@
     return check
 
 
-def number(smallest: float = 0.0, above: bool = False) -> Check:
-    """A finite number of at least `smallest`, or above it."""
+def number(smallest: float = 0.0, above: bool = False, largest: float = LARGEST_WHOLE) -> Check:
+    """A finite number of at least `smallest`, or above it, and at most `largest`."""
     allowed = f"a number {'above' if above else 'of at least'} {smallest:g}"
+    if largest != LARGEST_WHOLE:
+        allowed += f" and at most {largest:g}"
 
     def check(value: Any, where: str, findings: Findings) -> None:
         finite = type(value) is int or (type(value) is float and math.isfinite(value))
-        if not finite or not smallest <= value <= LARGEST_WHOLE or (above and value == smallest):
+        if not finite or not smallest <= value <= largest or (above and value == smallest):
             report(findings, where, show(value), allowed)
 
     return check
--- a/ochrespan/control_plane/home_client.py
+++ b/ochrespan/control_plane/home_client.py
@@ -30,25 +30,25 @@
         self._call = call
         self._is_usable = is_usable
         self._clock = clock
-        self._known: OrderedDict[tuple[str, str], str] = OrderedDict()
+        self._known: OrderedDict[tuple[str, str], Home] = OrderedDict()
         self._silent_until: dict[str, float] = {}
 
     def home(self, service: str, prefix: str, tokens: float) -> Home:
         """The instance that keeps the prefix, empty where nobody says; may wait for a short time."""
         key = (service, prefix)
-        known = self._known.get(key, "")
-        if known and self._is_usable(service, known):
+        known = self._known.get(key, UNKNOWN)
+        if known.instance and self._is_usable(service, known.instance):
             self._known.move_to_end(key)
-            return Home(known)
+            return known
         if self._clock() < self._silent_until.get(service, 0.0):
             return UNKNOWN
-        found = self._ask(HomeRequest(service, prefix, float(tokens), known))
+        found = self._ask(HomeRequest(service, prefix, float(tokens), known.instance))
         if found is None:
             self._silent_until[service] = self._clock() + SILENT_OWNER_PAUSE_S
             return UNKNOWN
         if not found.instance or not self._is_usable(service, found.instance):
             return UNKNOWN
-        self._known[key] = found.instance
+        self._known[key] = Home(found.instance)
         while len(self._known) > MOST_KNOWN:
             self._known.popitem(last=False)
         return found
--- a/ochrespan/data_plane/decisions.py
+++ b/ochrespan/data_plane/decisions.py
@@ -31,6 +31,11 @@
     is_unread: bool = False  # no server is known to have read the shared parts
     record: DecisionRecord | None = None  # where its decisions are recorded
 
+    @property
+    def shared_tokens(self) -> int:
+        """Of the prompt's parts that other requests share: all but the last."""
+        return sum(tokens for _, tokens in self.prefix[:-1])
+
 
 @dataclass(slots=True)
 class Server:
--- a/ochrespan/data_plane/quota_ticket.py
+++ b/ochrespan/data_plane/quota_ticket.py
@@ -26,9 +26,9 @@
 
     __slots__ = ("asked", "tokens", "_quotas", "_tenant", "_taken")
 
-    def __init__(self, quotas: Quotas, tenant: str, tokens: float) -> None:
+    def __init__(self, quotas: Quotas, tenant: str, tokens: float, asked: int = 1) -> None:
         self.tokens = tokens
-        self.asked = 1  # times that the desk asked for these tokens
+        self.asked = asked  # times that tokens were asked for until this ticket
         self._quotas = quotas
         self._tenant = tenant
         self._taken = quotas.take(tenant, tokens)
@@ -75,11 +75,9 @@
                 break
             client.pause(pause)
             if time.monotonic() - self._asked_at[tenant] >= ASK_INTERVAL_S:
-                asked = ticket.asked + 1
-                ticket = self._ask(tenant, tokens)
-                ticket.asked = asked
+                ticket = self._ask(tenant, tokens, ticket.asked + 1)
         return ticket
 
-    def _ask(self, tenant: str, tokens: float) -> QuotaTicket:
+    def _ask(self, tenant: str, tokens: float, asked: int = 1) -> QuotaTicket:
         self._asked_at[tenant] = time.monotonic()
-        return QuotaTicket(self._quotas, tenant, tokens)
+        return QuotaTicket(self._quotas, tenant, tokens, asked)
--- a/ochrespan/data_plane/scheduler.py
+++ b/ochrespan/data_plane/scheduler.py
@@ -75,7 +75,7 @@
         self._flows.end_round(now)
         flow = self._flows.of(now, request)
         units = max(1.0, (request.tokens_in + ANSWER_COST * request.tokens_out) / TOKENS_PER_UNIT)
-        shared = sum(tokens for _, tokens in request.prefix[:-1])
+        shared = request.shared_tokens
         own = max(0, request.tokens_in - shared)
         prompt = Prompt(
             shared_prefix(request.prefix), shared, own, request.aim, request.route, request.home, request.is_unread
@@ -220,9 +220,7 @@
     def _place(self, now: float, pool: Pool, job: Job) -> ServerState | None:
         return pool.placement.best(now, job.prompt, job.tried, lambda server: server.has_room(now))
 
-    def _send(
-        self, now: float, pool: Pool, job: Job, server: ServerState, beyond_window: bool = False
-    ) -> None:
+    def _send(self, now: float, pool: Pool, job: Job, server: ServerState, beyond_window: bool = False) -> None:
         request, flow = job.request, job.flow
         times, wait = pool.placement.times, server.queue_wait(now)
         kept = pool.placement.is_kept(now, server, job.prompt)
--- a/ochrespan/programs/settings.py
+++ b/ochrespan/programs/settings.py
@@ -54,11 +54,6 @@
         report(findings, where, show(value), ", ".join(LEVELS))
 
 
-def _share(value: Any, where: str, findings: Findings) -> None:
-    if type(value) not in (int, float) or not 0 <= value <= 1:
-        report(findings, where, show(value), "a number from 0 to 1")
-
-
 class Listen(TypedDict):
     """Addresses for what a process serves; which of them are given depends on its role."""
 
@@ -117,7 +112,7 @@
     fault_tolerance: NotRequired[Annotated[FaultTolerance, typed(FaultTolerance)]]
     bounds: NotRequired[dict[str, Any]]
     peer_tls: NotRequired[Annotated[PeerTls | None, optional(typed(PeerTls))]]
-    decision_records: NotRequired[Annotated[float, _share]]
+    decision_records: NotRequired[Annotated[float, number(largest=1.0)]]
     log_level: NotRequired[Annotated[str, _log_level]]
 
 
