--- a/tests/test_worth_lost.py
+++ b/tests/test_worth_lost.py
@@ -18,8 +18,10 @@
     Engine,
     Judge,
     Kind,
+    prices,
     records,
     requests_of,
+    unrecorded,
 )
 
 CHAT = Kind("chat", worth=2.0, late_worth=0.2, aim_ms=500.0, gap_ms=400.0, mean_size=10_000.0)
@@ -96,6 +98,16 @@
     assert requests_of([(0.0, other)], [CHAT]) == []
 
 
+def test_the_report_tells_prices_and_what_no_router_has_recorded():
+    told = {
+        "classes": [{"name": "chat", "n": 3}, {"name": "tag", "n": 2}],
+        "prices": [["machines", 3.0, 0.02], ["probes", 0.0, 0.0]],
+    }
+    assert unrecorded(told, [asked(record())]) == {"chat": 2, "tag": 2}
+    assert unrecorded({"classes": [{"name": "chat", "n": 0}]}, [asked(record())]) == {"chat": 0}
+    assert prices(told) == {"machines": 0.02}
+
+
 def test_the_interval_is_that_of_student():
     assert interval([1.0, 2.0, 3.0]) == pytest.approx(4.303 / 3**0.5)
     assert interval([1.0]) != interval([1.0])  # none for a single pair
