A leader that told a successor to campaign never leads in its term again

Cause: TimeoutNow, or a vote request that it starts, may arrive after the leader has taken its leadership back (0.6 s). It elected a successor beside up to 0.4 s of lease, and quotas were granted twice in that time.

Change: a leader that has sent TimeoutNow campaigns in the next term where the successor does not take over in time; the late message names a term that is over. Every simulated run now has the program's owner of quotas at each machine, routers that ask all of them, and a check that all grants fit one token bucket. New faults: connections that stall and then deliver, and transfers.

--- a/ochrespan/raft/election.py
+++ b/ochrespan/raft/election.py
@@ -24,7 +24,7 @@
         state = self._state
         if state.role is not Role.LEADER and state.now >= state.election_deadline:
             state.reset_pre_vote_deadline()
-            if state.is_voter and not state.withholding_votes:
+            if self._may_campaign():
                 self._campaign(pre_vote=True, leadership_transfer=False)
             elif state.role is not Role.FOLLOWER:
                 state.role = Role.FOLLOWER
@@ -32,8 +32,15 @@
     def handle_timeout_now(self, message: TimeoutNow) -> None:
         """The leader transfers its leadership: no pre-vote, and the leader's lease is no reason to reject."""
         state = self._state
-        is_current = message.term == state.term and state.role is Role.FOLLOWER
-        if is_current and state.is_voter and not state.withholding_votes:
+        if message.term == state.term and state.role is Role.FOLLOWER and self._may_campaign():
+            self._campaign(pre_vote=False, leadership_transfer=True)
+
+    def campaign_after_transfer(self) -> None:
+        """The successor has not taken over: this replica, which led, asks for its leadership back in the next term.
+
+        It has given up its lease, so the lease is no reason to reject, as in an election that the successor starts.
+        """
+        if self._may_campaign():
             self._campaign(pre_vote=False, leadership_transfer=True)
 
     def handle_vote_request(self, candidate: int, request: RequestVote) -> None:
@@ -72,6 +79,9 @@
             self._granted.add(voter)
             self._count_votes()
 
+    def _may_campaign(self) -> bool:
+        return self._state.is_voter and not self._state.withholding_votes
+
     def _has_leader(self) -> bool:
         state = self._state
         return state.role is Role.LEADER or state.now - state.last_leader_contact_at < state.timing.election_min_s
--- a/ochrespan/raft/leadership_transfer.py
+++ b/ochrespan/raft/leadership_transfer.py
@@ -1,5 +1,9 @@
 """Planned transfer of leadership: the successor gets the rest of the log, then is told to campaign at once.
 
+TimeoutNow may arrive at any later time, and an election that it starts ignores the lease of the leader that sent it. It
+starts one in the term after the leader's alone. So a leader that has sent one never leads in its term again: where the
+successor does not take over in time, it campaigns in the next term itself, in which the message has no effect.
+
 Source: Ongaro, "Consensus: Bridging Theory and Practice", section 3.10.
 """
 
@@ -11,7 +15,11 @@
 
 
 class LeadershipTransfer:
-    """One attempt at a time. While it is in progress the leader accepts no proposals; it times out by itself."""
+    """One attempt at a time. While it is in progress the leader accepts no proposals.
+
+    An attempt whose successor was not told to campaign times out by itself, and leadership goes on. One whose successor
+    was told ends with the leader's term.
+    """
 
     def __init__(self, state: ReplicaState, replication: LeaderReplication) -> None:
         self._state = state
@@ -20,13 +28,18 @@
 
     @property
     def in_progress(self) -> bool:
-        """Whether an attempt was started and has not timed out."""
-        return self._state.now < self._deadline
+        """Whether an attempt was started and has neither timed out nor been ended by a new term."""
+        return self._timeout_now_sent or self._state.now < self._deadline
 
     @property
     def is_successor_notified(self) -> bool:
         """Whether the successor was told to campaign: it may lead from now on, whatever this leader hears."""
-        return self.in_progress and self._timeout_now_sent
+        return self._timeout_now_sent
+
+    @property
+    def has_successor_failed(self) -> bool:
+        """Whether the successor was told to campaign and has not taken over in time."""
+        return self._timeout_now_sent and self._state.now >= self._deadline
 
     @property
     def was_attempted(self) -> bool:
--- a/ochrespan/raft/replica.py
+++ b/ochrespan/raft/replica.py
@@ -69,7 +69,8 @@
     def is_leader(self) -> bool:
         """Leader whose own term's first entry is committed: its state holds all that was ever acknowledged.
 
-        Not once another was told to campaign: that one is elected however lately a majority was heard here.
+        Not once another was told to campaign, for the rest of the term: that one is elected however lately a majority
+        was heard here.
         """
         state = self.state
         has_started = state.role is Role.LEADER and state.commit_index >= self.replication.term_start_index
@@ -289,6 +290,10 @@
         if state.now - max(state.last_quorum_at, state.leader_since or 0.0) > state.timing.election_max_s:
             state.become_follower(state.term, leader_id=0)
             return
+        if self._leadership_transfer.has_successor_failed:
+            state.become_follower(state.term, leader_id=0)
+            self._election.campaign_after_transfer()
+            return
         is_removed = not state.is_voter and state.commit_index >= state.log.configuration_index
         if (is_removed or state.withholding_votes) and not self.is_transferring_leadership:
             if self._leadership_transfer.was_attempted:
--- a/tests/raft/test_raft_behaviour.py
+++ b/tests/raft/test_raft_behaviour.py
@@ -12,7 +12,7 @@
 from ochrespan.raft.messages import Entry, EntryKind
 from ochrespan.raft.reconfiguration import GroupHealth, next_voters
 from ochrespan.raft.state import PersistentState, ReplicaSettings, Timing
-from tests.support.raft_simulation.checks import Violation
+from tests.support.raft_simulation.checks import Checks, Violation
 from tests.support.raft_simulation.faults import play
 from tests.support.raft_simulation.world import World, address
 
@@ -188,6 +188,82 @@
         assert aware
 
 
+LATE_S = 0.75  # later than a leader waits for its successor
+
+
+def lead_on_after_a_failed_transfer(monkeypatch):
+    """Plants the fault: a leader whose successor does not take over in time goes on in the same term."""
+    in_progress = property(lambda self: self._state.now < self._deadline)
+    monkeypatch.setattr(LeadershipTransfer, "in_progress", in_progress)
+    notified = property(lambda self: self.in_progress and self._timeout_now_sent)
+    monkeypatch.setattr(LeadershipTransfer, "is_successor_notified", notified)
+    monkeypatch.setattr(LeadershipTransfer, "has_successor_failed", False)
+
+
+def play_late_transfer(late_message: str) -> World:
+    """One message of a leadership transfer arrives after LATE_S; from then on the old leader hears nobody."""
+    world = World(6)
+    world.run(5.0)
+    shard = 1
+    leader = world.leader(shard)
+    successor, third = (node for node in world.nodes.values() if node is not leader)
+    if late_message == "TimeoutNow":
+        world.stall(leader.address, successor.address, LATE_S)
+    else:
+        world.stall(successor.address, third.address, LATE_S)
+        world.stall(successor.address, leader.address, LATE_S)
+    world.quota_traffic.begin(world.now + 4.0)
+    leader.multi_raft.replicas[shard].transfer_leadership(world.now, successor.multi_raft.id)
+    leader.pump()
+    world.run(0.01)
+    successor.multi_raft.replicas[shard].state.election_deadline = float("inf")  # it remains a candidate if it is one
+    world.run(LATE_S - 0.012)
+    world.cuts |= {(node.address, leader.address) for node in (successor, third)}
+    world.run(3.0)
+    assert world.leader(shard) is not None
+    return world
+
+
+@pytest.mark.parametrize("late_message", ["TimeoutNow", "RequestVote"])
+def test_a_late_message_of_a_transfer_elects_nobody_beside_a_lease(late_message):
+    world = play_late_transfer(late_message)
+    assert all(world.quota_traffic.granted.values())
+
+
+@pytest.mark.parametrize("late_message", ["TimeoutNow", "RequestVote"])
+def test_a_leader_that_goes_on_in_the_term_of_its_transfer_is_caught_as_two_owners(late_message, monkeypatch):
+    lead_on_after_a_failed_transfer(monkeypatch)
+    with pytest.raises(Violation, match="two owners"):
+        play_late_transfer(late_message)
+
+
+@pytest.mark.parametrize("late_message", ["TimeoutNow", "RequestVote"])
+def test_grants_beside_a_late_transfer_are_caught_as_a_quota_granted_twice(late_message, monkeypatch):
+    lead_on_after_a_failed_transfer(monkeypatch)
+    monkeypatch.setattr(Checks, "_check_one_owner", lambda *_: None)
+    with pytest.raises(Violation, match="quota granted twice"):
+        play_late_transfer(late_message)
+
+
+def test_a_leader_whose_successor_is_gone_leads_again_in_the_next_term_soon():
+    world = World(6)
+    world.run(5.0)
+    leader = world.leader(0)
+    replica = leader.multi_raft.replicas[0]
+    successor = next(node for node in world.nodes.values() if node is not leader)
+    term = replica.state.term
+    world.propose(0)
+    world.run(0.1)
+    world.cuts |= {(leader.address, successor.address), (successor.address, leader.address)}
+    replica.transfer_leadership(world.now, successor.multi_raft.id)
+    leader.pump()
+    assert not replica.accepts_proposals
+    world.run(Timing().leadership_transfer_s + 0.1)
+    assert replica.is_leader
+    assert replica.state.term == term + 1
+    assert leader.propose(0, "after the transfer")
+
+
 def test_a_leader_cut_off_from_both_others_steps_down_and_confirms_no_reads():
     world = World(6)
     world.run(5.0)
--- a/tests/raft/test_simulation.py
+++ b/tests/raft/test_simulation.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.support.raft_simulation.faults import HarshFaultInjector, play
+from tests.support.raft_simulation.faults import FaultInjector, HarshFaultInjector, play
 from tests.support.raft_simulation.world import World
 
 SIZES = [(3, 1, range(40)), (4, 1, range(20)), (5, 2, range(20)), (5, 1, range(10))]
@@ -41,6 +41,13 @@
     assert sum(map(len, world.checks.acked.values())) > 20
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_no_rule_is_broken_when_messages_and_transfers_of_leadership_are_late(seed):
+    world = World(seed)
+    play(world, 20.0, 0.5, FaultInjector.LATE_KINDS)
+    assert sum(map(len, world.checks.acked.values())) > 20
+
+
 def test_a_seed_gives_the_same_run_each_time():
     runs = []
     for _ in range(2):
--- a/tests/support/raft_simulation/checks.py
+++ b/tests/support/raft_simulation/checks.py
@@ -97,6 +97,10 @@
         if replica.state.term < newest and replica.lease_age_s(self._world.now) <= LEASE_DURATION_S:
             raise Violation("two owners", f"{node.address[0]} in term {replica.state.term} of {newest}, shard {shard}")
 
+    def quota_exceeded(self, tenant: str, tokens: float) -> None:
+        """All machines together granted more of a tenant's tokens than its bucket holds."""
+        raise Violation("quota granted twice", f"{tokens:.0f} tokens of {tenant} too many at {self._world.now:.3f}")
+
     def vote(self, replica_id: int, address: str, shard: int, term: int, candidate: int) -> None:
         """An id votes once in a term; that it has one disk is checked when a process starts."""
         if self._votes.setdefault((shard, term, replica_id), candidate) != candidate:
--- a/tests/support/raft_simulation/faults.py
+++ b/tests/support/raft_simulation/faults.py
@@ -34,7 +34,9 @@
         "turn_seeds",
     )
 
-    RESET_KINDS = ("cut_reset", "kill", "leave", "freeze")  # apart, so that the runs of the others stay as they are
+    # Apart, so that the runs of the others stay as they are
+    RESET_KINDS = ("cut_reset", "kill", "leave", "freeze")
+    LATE_KINDS = ("stall", "stall", "stall", "transfer", "transfer", "leave", "hang_disk", "freeze")
 
     def __init__(self, world: World, kinds: tuple[str, ...] = KINDS) -> None:
         self.world = world
@@ -181,6 +183,20 @@
         for other in others:
             self.world.reset(node, other)
 
+    def _stall(self, node: Node) -> None:
+        """A connection carries nothing for a while, then everything, in the order in which it was sent."""
+        other = self.random.choice(list(self.world.nodes.values()))
+        seconds = self.random.uniform(0.2, 2.0)
+        self._disturb(seconds)
+        self.world.stall(node.address, other.address, seconds)
+
+    def _transfer(self, node: Node) -> None:
+        """An operator has all shards that a machine leads transferred."""
+        if node.running:
+            for replica in node.multi_raft.replicas.values():
+                replica.transfer_leadership(self.world.now)
+            node.pump()
+
     def _freeze(self, node: Node) -> None:
         seconds = self.random.uniform(0.2, 4.0)
         self._disturb(seconds)
@@ -267,10 +283,12 @@
     faults = (injector or FaultInjector)(world, kinds)
     world.run(3.0)
     world.traffic(0.05, world.now + seconds + SETTLE_S)
+    world.quota_traffic.begin(world.now + seconds + SETTLE_S)
     faults.begin(gap_s, world.now + seconds)
     world.run(seconds)
     faults.end()
     world.run(SETTLE_S)
+    assert all(world.quota_traffic.granted.values()), "a tenant was granted nothing"
     for shard in world.shards:
         before = len(world.checks.acked[shard])
         world.propose(shard)
--- a/tests/support/raft_simulation/node.py
+++ b/tests/support/raft_simulation/node.py
@@ -23,6 +23,7 @@
 from ochrespan.storage.snapshot_store import SnapshotStore
 
 from .disk import SimDirectory
+from .quota import SimulatedQuotaOwner
 
 if TYPE_CHECKING:
     from .world import World
@@ -71,6 +72,7 @@
         self.incarnation = 0
         self.multi_raft: MultiRaft | None = None
         self.machines: dict[int, Machine] = {}
+        self.quota = SimulatedQuotaOwner(self)
         self.waiting: dict[tuple[int, int], tuple[int, str, Callable[[Any], None]]] = {}
         self._store: SnapshotStore | None = None
         self._write_began: float | None = None
@@ -100,6 +102,7 @@
                 self.machines[shard].restore(state.log.snapshot.data)
         settings = BootstrapSettings(self.address, seeds, bootstrap, world.fault_tolerance)
         self.multi_raft = world.make_multi_raft(settings, identity, durable)
+        self.quota = SimulatedQuotaOwner(self)
         self._write_began = None
         self.waiting = {}
         world.checks.started(self)
@@ -167,6 +170,7 @@
                 token.complete(world.now, list(self.machines[shard].commands))
             replica.failed_reads = []
         world.checks.observe(self)
+        self.quota.follow_leadership()
         for address, envelope in self.multi_raft.take_envelopes():
             world.post(self, address, envelope)
         self._write()
--- a/tests/support/raft_simulation/world.py
+++ b/tests/support/raft_simulation/world.py
@@ -14,6 +14,7 @@
 
 from .checks import Checks, Read
 from .node import Machine, Node
+from .quota import QuotaTraffic
 
 PORT = 7500
 COMMAND_FRACTION = 0.7  # of the traffic; the rest are reads
@@ -48,6 +49,7 @@
         ] = {}  # of the links of a machine; links that are not listed have no limit
         self.carried: dict[tuple[Address, Address], int] = {}  # bytes, over links with a limit
         self.checks = Checks(self)
+        self.quota_traffic = QuotaTraffic(self)
         self.multi_raft_type = MultiRaft
         self.machine_type: Callable[[], Machine] = Machine
         self.nodes = {address(number): Node(self, address(number)) for number in range(1, size + 1)}
@@ -116,6 +118,10 @@
         if receiver.running and (sender, receiver.address) not in self.cuts:
             receiver.receive(envelope)
 
+    def stall(self, sender: Address, to: Address, seconds: float) -> None:
+        """Holds back what one machine sends to another from now on; it arrives in order when the time is up."""
+        self._arrives[sender, to] = max(self._arrives.get((sender, to), 0.0), self.now + seconds)
+
     def process_ended(self, gone: Address) -> None:
         """The operating system resets the connections of a process that ends, where no cut prevents that."""
         for node in self.nodes.values():
