Backups carry the accepted commands; a version that does not exist yet gets no refusal

Cause: a cluster set up anew from a backup knew no digests, so a command that was repeated there was told that another version is current. A command on a version that does not exist yet got 412, and a delayed copy was accepted once that version existed: a refusal that was not final.

Change: GET and PUT /api/config/backup read and restore the configuration with the accepted commands in one step, the latter into an empty cluster alone. A command that builds on a later version than the current one gets 503 in place of 412: it may still be accepted.

Result: the operators of the simulation send commands early and have late copies delivered; a planted 412 for an early command is detected.

--- a/ochrespan/control_plane/api/forwarding.py
+++ b/ochrespan/control_plane/api/forwarding.py
@@ -15,8 +15,14 @@
 
 import gevent
 
-from ochrespan.control_plane.config.commands import ConfigCommand
-from ochrespan.control_plane.config.owner import ConfigurationOwner, ReadConfiguration, ReadHistory, command_timeout_s
+from ochrespan.control_plane.config.commands import ConfigCommand, RestoreCommand
+from ochrespan.control_plane.config.owner import (
+    ConfigurationOwner,
+    ReadBackup,
+    ReadConfiguration,
+    ReadHistory,
+    command_timeout_s,
+)
 from ochrespan.control_plane.registry.owner import InstanceEnded, InstanceOwner, InstanceReport
 from ochrespan.control_plane.registry.records import InstanceRecord, record_fields
 from ochrespan.control_plane.registry.state_machine import InstanceStateMachine
@@ -52,6 +58,8 @@
             ConfigCommand: configuration_owner.submit,
             ReadConfiguration: configuration_owner.read,
             ReadHistory: configuration_owner.history,
+            RestoreCommand: configuration_owner.submit,
+            ReadBackup: configuration_owner.backup,
             InstanceReport: instance_owner.report,
             InstanceEnded: instance_owner.remove,
         }
@@ -61,7 +69,7 @@
         for request_type in self._handlers:
             call_server.on_request(request_type, self._handle_forwarded_request)
 
-    def submit(self, command: ConfigCommand) -> Response:
+    def submit(self, command: ConfigCommand | RestoreCommand) -> Response:
         """Submits a configuration command; large ones have a longer timeout."""
         return self._forward_to_leader(CONFIG_SHARD, command, command_timeout_s(command))
 
@@ -73,6 +81,10 @@
         """The latest changes of the configuration, confirmed by a majority."""
         return self._forward_to_leader(CONFIG_SHARD, ReadHistory(), CALL_TIMEOUT_S)
 
+    def read_backup(self) -> Response:
+        """The newest configuration and the accepted commands, confirmed by a majority."""
+        return self._forward_to_leader(CONFIG_SHARD, ReadBackup(), CALL_TIMEOUT_S)
+
     def cluster_name(self) -> str:
         """The cluster that this controller belongs to; empty before it has joined one."""
         return cluster_name(self._groups.cluster())
--- a/ochrespan/control_plane/api/handlers.py
+++ b/ochrespan/control_plane/api/handlers.py
@@ -16,8 +16,9 @@
 
 from ochrespan.common.addresses import Address
 from ochrespan.common.validation import Check, Finding, ValidationError
-from ochrespan.control_plane.config.commands import ConfigCommandKind, make_command
+from ochrespan.control_plane.config.commands import ConfigCommandKind, make_command, make_restore_command
 from ochrespan.control_plane.config.documents import (
+    CHECK_BACKUP,
     CHECK_CONFIGURATION,
     CHECK_INSTANCE,
     CHECK_LEADERSHIP,
@@ -80,6 +81,7 @@
         self._registry = registry
         self._routes: dict[str, dict[str, Handler]] = {
             "/api/config": {"GET": self._get_config, "PUT": self._put_config, "PATCH": self._patch_config},
+            "/api/config/backup": {"GET": self._get_backup, "PUT": self._put_backup},
             "/api/config/history": {"GET": self._get_history},
             "/api/leadership": {"PUT": self._put_leadership},
             "/api/readyz": {"GET": self._get_ready},
@@ -133,15 +135,30 @@
 
     def _submit(self, kind: ConfigCommandKind, check: Check, environment: Environment) -> Response:
         """Submits a configuration command, unless it names another cluster than this controller's."""
-        intended_cluster = environment.get(CLUSTER_VARIABLE, "")
-        own_cluster = self._service.cluster_name()
-        if intended_cluster and own_cluster and intended_cluster != own_cluster:
-            finding = Finding(CLUSTER_HEADER, intended_cluster, f"{own_cluster}, or none")
+        if finding := self._find_other_cluster(environment):
             return findings_response(PRECONDITION_FAILED, [finding])
         version = _read_version(environment)
         document = read_json(_read_body(environment), check)
         return self._service.submit(make_command(kind, version, document, _now_ms()))
 
+    def _find_other_cluster(self, environment: Environment) -> Finding | None:
+        """The finding of a command that is meant for another cluster than this controller's."""
+        intended_cluster = environment.get(CLUSTER_VARIABLE, "")
+        own_cluster = self._service.cluster_name()
+        if intended_cluster and own_cluster and intended_cluster != own_cluster:
+            return Finding(CLUSTER_HEADER, intended_cluster, f"{own_cluster}, or none")
+        return None
+
+    def _get_backup(self, _environment: Environment) -> Response:
+        return self._service.read_backup()
+
+    def _put_backup(self, environment: Environment) -> Response:
+        """Restores a backup into a cluster that has no configuration yet; any other one responds with 412."""
+        if finding := self._find_other_cluster(environment):
+            return findings_response(PRECONDITION_FAILED, [finding])
+        document = read_json(_read_body(environment), CHECK_BACKUP)
+        return self._service.submit(make_restore_command(document, _now_ms()))
+
     def _get_history(self, _environment: Environment) -> Response:
         return self._service.read_history()
 
--- a/ochrespan/control_plane/config/commands.py
+++ b/ochrespan/control_plane/config/commands.py
@@ -12,6 +12,7 @@
 from ochrespan.transport.codec import encode, message
 
 DIGEST_BYTES = 16
+RESTORE_KIND = "restore"  # in the history, beside the values of `ConfigCommandKind`
 MAX_EXACT_INTEGER = 2**53  # a float holds every integer below it exactly
 
 
@@ -43,6 +44,22 @@
     received_ms: int = 0
 
 
+@message("cp.restore")
+@dataclass(slots=True)
+class RestoreCommand:
+    """Gives an empty cluster the configuration of a backup, and the commands that were accepted before it.
+
+    Attributes:
+        digest: Identifies the command, so that one that is sent again is recognised.
+        body: A `documents.BackupDocument`, packed by `compact`.
+        received_ms: Unix time in milliseconds at the controller that received it; shown in the history.
+    """
+
+    digest: bytes
+    body: bytes
+    received_ms: int = 0
+
+
 def make_command(
     kind: ConfigCommandKind, builds_on: int, document: dict[str, Any], received_ms: int = 0
 ) -> ConfigCommand:
@@ -53,15 +70,30 @@
     Raises:
         ValidationError: The document holds a string or number that cannot be packed.
     """
+    body, digest = _pack(f"{kind.value} {builds_on} ", document)
+    return ConfigCommand(kind.value, builds_on, digest, body, received_ms)
+
+
+def make_restore_command(backup: dict[str, Any], received_ms: int = 0) -> RestoreCommand:
+    """Builds the command for a checked `documents.BackupDocument`.
+
+    Raises:
+        ValidationError: The document holds a string or number that cannot be packed.
+    """
+    body, digest = _pack(f"{RESTORE_KIND} ", backup)
+    return RestoreCommand(digest, body, received_ms)
+
+
+def _pack(prefix: str, document: dict[str, Any]) -> tuple[bytes, bytes]:
+    """Returns the packed document, and a digest of it behind `prefix`."""
     try:
         body = compact.pack_sorted(document)
         identity = compact.pack_sorted(_normalise_numbers(document))
     except compact.PackingError as error:
         raise ValidationError([Finding("body", str(error), "strings of Unicode, numbers of 64 bits")]) from error
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    digest.update(f"{kind.value} {builds_on} ".encode())
+    digest = hashlib.blake2b(prefix.encode(), digest_size=DIGEST_BYTES)
     digest.update(identity)
-    return ConfigCommand(kind.value, builds_on, digest.digest(), compact.compress(body), received_ms)
+    return compact.compress(body), digest.digest()
 
 
 def _normalise_numbers(value: Any) -> Any:
@@ -75,6 +107,6 @@
     return value
 
 
-def encode_command(command: ConfigCommand) -> bytes:
+def encode_command(command: ConfigCommand | RestoreCommand) -> bytes:
     """Encodes the command for the log of the configuration shard."""
     return encode(command)
--- a/ochrespan/control_plane/config/documents.py
+++ b/ochrespan/control_plane/config/documents.py
@@ -28,10 +28,13 @@
     typed_dict,
 )
 
+from .commands import DIGEST_BYTES
+
 MAX_ID_CHARACTERS = 200
 _COUNT = integer()
 _MILLISECONDS = number()
 _NAME = text(1, 1024)
+_DIGEST = re.compile(rf"[0-9a-f]{{{2 * DIGEST_BYTES}}}")
 _PRINTABLE = re.compile(r"[\x21-\x7e]+")
 
 
@@ -45,6 +48,11 @@
         add_finding(findings, where, show(value), "a key of printable ASCII characters")
 
 
+def _digest(value: Any, where: str, findings: Findings) -> None:
+    if not isinstance(value, str) or not _DIGEST.fullmatch(value):
+        add_finding(findings, where, show(value), f"{2 * DIGEST_BYTES} hexadecimal digits")
+
+
 def _address(value: Any, where: str, findings: Findings) -> None:
     try:
         parse_address(value if isinstance(value, str) else "")
@@ -222,6 +230,25 @@
     models: NotRequired[Annotated[list[ModelDocument] | None, optional(list_of(typed_dict(ModelDocument)))]]
 
 
+class AcceptedCommandDocument(TypedDict):
+    """A command that was accepted: its digest as hexadecimal digits, and the version that it made."""
+
+    digest: Annotated[str, _digest]
+    version: Annotated[int, _COUNT]
+
+
+class BackupDocument(TypedDict):
+    """What `GET /api/config/backup` gives, and the body of `PUT /api/config/backup`.
+
+    `last_evicted_version` is the newest version whose command is not among `accepted_commands`, 0 if all are: commands
+    that build on an older one may have been accepted.
+    """
+
+    configuration: Annotated[ConfigurationDocument, typed_dict(ConfigurationDocument)]
+    accepted_commands: Annotated[list[AcceptedCommandDocument], list_of(typed_dict(AcceptedCommandDocument))]
+    last_evicted_version: Annotated[int, _COUNT]
+
+
 class LeadershipDocument(TypedDict):
     """The body of `PUT /api/leadership`: for how many seconds the controller declines leadership; 0 ends that."""
 
@@ -231,6 +258,7 @@
 CHECK_CONFIGURATION = typed_dict(ConfigurationDocument)
 CHECK_PATCH = typed_dict(PatchDocument)
 CHECK_INSTANCE = typed_dict(InstanceDocument)
+CHECK_BACKUP = typed_dict(BackupDocument)
 CHECK_LEADERSHIP = typed_dict(LeadershipDocument)
 
 
--- a/ochrespan/control_plane/config/owner.py
+++ b/ochrespan/control_plane/config/owner.py
@@ -26,7 +26,7 @@
 from ochrespan.control_plane.shards import CONFIG_SHARD
 from ochrespan.transport.codec import encode, message
 
-from .commands import ConfigCommand
+from .commands import ConfigCommand, RestoreCommand
 from .state_machine import CommandOutcome, CommandResult, ConfigurationStateMachine
 
 log = logging.getLogger(__name__)
@@ -47,7 +47,13 @@
     """A request for the latest changes of the configuration."""
 
 
-def command_timeout_s(command: ConfigCommand) -> float:
+@message("cp.backup")
+@dataclass(slots=True)
+class ReadBackup:
+    """A request for the newest configuration with the commands that were accepted."""
+
+
+def command_timeout_s(command: ConfigCommand | RestoreCommand) -> float:
     """Returns the seconds that a command may take; large ones get more time, as their callers wait longer."""
     return CALL_TIMEOUT_S + len(command.body) * COMMAND_TIMEOUT_PER_BYTE_S
 
@@ -62,7 +68,7 @@
         self._groups = groups
         self._machine = machine
 
-    def submit(self, command: ConfigCommand) -> Response:
+    def submit(self, command: ConfigCommand | RestoreCommand) -> Response:
         """Proposes a command and responds with its result once it is committed and applied.
 
         A time-out or lost leadership leaves the outcome unknown; the caller may retry the same command.
@@ -75,7 +81,7 @@
             "command evaluated outcome=%s version=%d builds_on=%d",
             result.outcome.name,
             result.version,
-            command.builds_on,
+            command.builds_on if isinstance(command, ConfigCommand) else 0,
         )
         return _response_to(result)
 
@@ -87,6 +93,10 @@
         """Responds with the latest changes, oldest first, confirmed by a majority."""
         return self._confirmed(lambda: {"changes": self._machine.history.fields()})
 
+    def backup(self, request: ReadBackup) -> Response:  # noqa: ARG002 - every request handler takes its request
+        """Responds with the newest configuration and the accepted commands, confirmed by a majority."""
+        return self._confirmed(self._machine.backup)
+
     def _confirmed(self, read_document: Callable[[], dict[str, Any]]) -> Response:
         try:
             self._groups.read_barrier(CONFIG_SHARD, CALL_TIMEOUT_S)
@@ -98,7 +108,7 @@
 def _response_to(result: CommandResult) -> Response:
     if result.outcome in (CommandOutcome.ACCEPTED, CommandOutcome.ALREADY_ACCEPTED):
         return json_response(OK, {"generation": result.version})
-    if result.outcome is CommandOutcome.TOO_OLD:
+    if result.outcome in (CommandOutcome.TOO_OLD, CommandOutcome.VERSION_NOT_REACHED):
         return unavailable_response(COMMAND_FINDING, result.outcome.value)
     if result.outcome is CommandOutcome.VERSION_CONFLICT:
         return findings_response(PRECONDITION_FAILED, [Finding("If-Match", "another version", str(result.version))])
--- a/ochrespan/control_plane/config/state_machine.py
+++ b/ochrespan/control_plane/config/state_machine.py
@@ -8,13 +8,14 @@
 
 import enum
 from dataclasses import dataclass
+from typing import Any
 
 from ochrespan.common.validation import Finding, ValidationError
 from ochrespan.transport import compact
 from ochrespan.transport.codec import MessageError, decode
 
 from .change_history import ChangeHistory, make_change_record
-from .commands import ConfigCommand, ConfigCommandKind
+from .commands import RESTORE_KIND, ConfigCommand, ConfigCommandKind, RestoreCommand
 from .configuration import Configuration, ConfigurationChange, change_of_patch, change_to
 from .views import Tenant, tenant_view
 
@@ -27,6 +28,7 @@
     ACCEPTED = "taken"
     ALREADY_ACCEPTED = "taken before"  # a retry of a remembered command
     VERSION_CONFLICT = "another version is current"
+    VERSION_NOT_REACHED = "builds on a version that does not exist yet"  # it may still be accepted: not rejected
     TOO_OLD = "too old to tell whether it was taken"  # it may be a retry of a command that was evicted
     INVALID = "invalid"
 
@@ -63,10 +65,21 @@
             decoded = decode(command)
         except MessageError as error:
             return self._invalid(Finding(error.where, error.found, error.allowed))
+        if isinstance(decoded, RestoreCommand):
+            return self._evaluate_restore(decoded)
         if not isinstance(decoded, ConfigCommand):
             return self._invalid(Finding("command", type(decoded).__name__, "an order"))
         return self._evaluate(decoded)
 
+    def backup(self) -> dict[str, Any]:
+        """Returns the configuration and the accepted commands as a `documents.BackupDocument`, oldest command first."""
+        accepted = [{"digest": digest.hex(), "version": version} for digest, version in self._accepted_versions.items()]
+        return {
+            "configuration": self.current.document(),
+            "accepted_commands": accepted,
+            "last_evicted_version": self._last_evicted_version,
+        }
+
     def tenant(self, name: str) -> Tenant | None:
         """Returns a tenant of the current configuration."""
         document = self.current.tenants.get(name)
@@ -91,7 +104,9 @@
             return CommandResult(CommandOutcome.ALREADY_ACCEPTED, version)
         if command.builds_on < self._last_evicted_version:
             return CommandResult(CommandOutcome.TOO_OLD, self.current.version)
-        if command.builds_on != self.current.version:
+        if command.builds_on > self.current.version:
+            return CommandResult(CommandOutcome.VERSION_NOT_REACHED, self.current.version)
+        if command.builds_on < self.current.version:
             return CommandResult(CommandOutcome.VERSION_CONFLICT, self.current.version)
         make_change = change_to if command.kind == ConfigCommandKind.REPLACE else change_of_patch
         change = make_change(self.current, compact.unpack(command.body))
@@ -103,6 +118,25 @@
         self.history.add(make_change_record(change, command.builds_on, command.kind, command.received_ms))
         return CommandResult(CommandOutcome.ACCEPTED, change.version, change=change)
 
+    def _evaluate_restore(self, command: RestoreCommand) -> CommandResult:
+        """Restores a backup into a cluster without a configuration; into any other it is a conflict."""
+        if (version := self._accepted_versions.get(command.digest)) is not None:
+            return CommandResult(CommandOutcome.ALREADY_ACCEPTED, version)
+        if self.current.version:
+            return CommandResult(CommandOutcome.VERSION_CONFLICT, self.current.version)
+        backup = compact.unpack(command.body)
+        change = change_to(self.current, backup["configuration"])
+        try:
+            self.current = self.current.changed_by(change)
+        except ValidationError as error:
+            return self._invalid(*error.findings)
+        self._last_evicted_version = backup["last_evicted_version"]
+        for accepted in backup["accepted_commands"]:
+            self._remember(bytes.fromhex(accepted["digest"]), accepted["version"])
+        self._remember(command.digest, change.version)
+        self.history.add(make_change_record(change, 0, RESTORE_KIND, command.received_ms))
+        return CommandResult(CommandOutcome.ACCEPTED, change.version, change=change)
+
     def _invalid(self, *findings: Finding) -> CommandResult:
         return CommandResult(CommandOutcome.INVALID, self.current.version, findings)
 
--- a/ochrespan/programs/fleetctl_commands/state_commands.py
+++ b/ochrespan/programs/fleetctl_commands/state_commands.py
@@ -6,14 +6,19 @@
 from pathlib import Path
 from typing import Any
 
+from returns.result import Failure, Success
+
 from ochrespan.common.validation import Finding, ValidationError
 from ochrespan.control_plane.registry.records import InstanceState
+from ochrespan.control_plane.responses import NOT_FOUND
 
-from .backup_file import Backup, read_backup, write_backup
+from .backup_file import AcceptedCommands, Backup, read_backup, write_backup
 from .common import client_for_fleet, current_configuration, unwrap_document
 from .control_client import ControlClient
 from .reports import difference_report
 
+BACKUP_PATH = "/api/config/backup"
+
 
 def backup(file: Path, *, controllers: list[str] | None = None) -> str:
     """Write the configuration and the list of servers to a file.
@@ -22,11 +27,12 @@
     :param controllers: control addresses to ask, in turn
     """
     client = client_for_fleet(controllers)
-    configuration = current_configuration(client)
+    configuration, commands = _read_state(client)
     instances = unwrap_document(client.get("/api/status"))["instances"]
     taken_at = datetime.now(UTC).isoformat(timespec="seconds")
+    saved = Backup(taken_at, configuration, instances, commands)
     try:
-        write_backup(file, Backup(taken_at, configuration, instances))
+        write_backup(file, saved)
     except OSError as error:
         raise ValidationError([Finding(str(file), str(error.strerror), "a file that can be written")]) from error
     return f"{file}: version {configuration['generation']}, {len(instances)} servers"
@@ -51,7 +57,7 @@
         return "\n".join([*report, f"dry run: nothing was changed; the backup is of {saved.taken_at}"])
     if difference:
         version = current["generation"]
-        response = unwrap_document(client.put("/api/config", restored, {"If-Match": str(version)}))
+        response = _put_configuration(client, saved, restored, version)
         report.append(f"taken: version {response['generation']} on top of {version}")
     for each in to_drain:
         drain_instance(client, next(record for record in registered if record["id"] == each))
@@ -69,6 +75,28 @@
     unwrap_document(client.put(f"/api/instances/{record['id']}", report))
 
 
+def _read_state(client: ControlClient) -> tuple[dict[str, Any], AcceptedCommands | None]:
+    """The configuration and the accepted commands; controllers of an earlier version do not tell the commands."""
+    result = client.get(BACKUP_PATH)
+    if isinstance(result, Failure) and result.failure().status == NOT_FOUND:
+        return current_configuration(client), None
+    state = unwrap_document(result)
+    return state["configuration"], AcceptedCommands(state["accepted_commands"], state["last_evicted_version"])
+
+
+def _put_configuration(client: ControlClient, saved: Backup, restored: dict[str, Any], version: int) -> Any:
+    """Restores the complete state into a cluster without a configuration, else the configuration on `version`.
+
+    Raises:
+        CommandFailedError: it was refused, or its outcome is unknown.
+    """
+    if version == 0:
+        result = client.put(BACKUP_PATH, saved.restore_document())
+        if isinstance(result, Success) or result.failure().status != NOT_FOUND:
+            return unwrap_document(result)
+    return unwrap_document(client.put("/api/config", restored, {"If-Match": str(version)}))
+
+
 def _next_version(saved: dict[str, Any], current: dict[str, Any]) -> int:
     """The backup's version, or the next one where the fleet has reached that: versions only go up."""
     version: int = max(saved["generation"], current["generation"] + 1)
--- a/tests/control_plane/api/test_control_api.py
+++ b/tests/control_plane/api/test_control_api.py
@@ -49,6 +49,25 @@
     assert document["limits"] == {"max_body_bytes": 4194304, "idle_timeout_ms": 5}
 
 
+def test_a_command_on_a_version_that_does_not_exist_yet_gets_no_outcome_until_it_does(world):
+    controller = world.controllers[1]
+    early = configuration(6)
+    assert controller.put_config(early, 5)[0] == 503
+    assert controller.put_config(configuration(5), 0)[0] == 200
+    assert controller.put_config(early, 5)[0] == 200
+
+
+def test_a_backup_for_another_cluster_is_rejected(world):
+    for controller in world.controllers:
+        controller.groups.cluster_number = 0x1F
+    backup = {"configuration": configuration(5), "accepted_commands": [], "last_evicted_version": 5}
+    call = world.controllers[0].call
+    assert call("PUT", "/api/config/backup", backup, X_Fleet_Cluster=cluster_name(0x2F))[0] == 412
+    assert call("PUT", "/api/config/backup", backup, X_Fleet_Cluster=cluster_name(0x1F))[0] == 200
+    assert call("GET", "/api/config/backup")[1]["configuration"] == configuration(5)
+    assert call("PUT", "/api/config/backup", {"configuration": configuration(5)})[0] == 400
+
+
 def test_a_command_on_another_version_gets_412_and_an_older_generation_400(world):
     controller = world.controllers[2]
     controller.put_config(configuration(5), 0)
--- a/tests/control_plane/config/test_commands.py
+++ b/tests/control_plane/config/test_commands.py
@@ -6,8 +6,14 @@
 from hypothesis import strategies as st
 
 from ochrespan.control_plane.config import change_history, state_machine
-from ochrespan.control_plane.config.commands import ConfigCommandKind, encode_command, make_command
+from ochrespan.control_plane.config.commands import (
+    ConfigCommandKind,
+    encode_command,
+    make_command,
+    make_restore_command,
+)
 from ochrespan.control_plane.config.state_machine import CommandOutcome, ConfigurationStateMachine
+from ochrespan.programs.fleetctl_commands.backup_file import Backup
 from ochrespan.transport import compact
 from tests.support.control_plane_world import World, configuration, route
 
@@ -84,6 +90,93 @@
     assert machine.current.version == 5
 
 
+def test_a_command_on_a_version_that_does_not_exist_yet_is_not_rejected_and_may_be_accepted_later():
+    """A rejection would have to be final, and a copy of the command may be delivered when that version exists."""
+    machine = ConfigurationStateMachine()
+    early = replace(7, 5, route("a"))
+    assert outcomes(machine, early, replace(5, 0), early, early) == [
+        CommandOutcome.VERSION_NOT_REACHED,
+        CommandOutcome.ACCEPTED,
+        CommandOutcome.ACCEPTED,
+        CommandOutcome.ALREADY_ACCEPTED,
+    ]
+
+
+@given(st.lists(st.tuples(st.integers(0, 4), st.integers(1, 6), st.booleans()), max_size=30))
+@settings(max_examples=200, deadline=None)
+def test_a_rejected_command_is_never_accepted_later(drawn):
+    machine = ConfigurationStateMachine()
+    rejected = set()
+    for index, (builds_on, step, is_patch) in enumerate(drawn, start=1):
+        generation = builds_on + step
+        command = patch(generation, builds_on) if is_patch else replace(generation, builds_on)
+        outcome = machine.apply(index, command).outcome
+        if outcome in (CommandOutcome.VERSION_CONFLICT, CommandOutcome.INVALID):
+            rejected.add(command)
+        elif outcome is CommandOutcome.ACCEPTED:
+            assert command not in rejected
+
+
+def restore(backup):
+    return encode_command(make_restore_command(backup))
+
+
+def test_a_restored_cluster_recognises_the_commands_that_were_accepted_before():
+    machine, restored = ConfigurationStateMachine(), ConfigurationStateMachine()
+    first, second = replace(3, 0, route("a")), patch(4, 3, upsert={"routes": [route("b")]})
+    outcomes(machine, first, second)
+    backup = restore(machine.backup())
+    assert outcomes(restored, backup, backup, first, second, replace(9, 3), replace(9, 4)) == [
+        CommandOutcome.ACCEPTED,
+        CommandOutcome.ALREADY_ACCEPTED,
+        CommandOutcome.ALREADY_ACCEPTED,
+        CommandOutcome.ALREADY_ACCEPTED,
+        CommandOutcome.VERSION_CONFLICT,
+        CommandOutcome.ACCEPTED,
+    ]
+    assert [each["kind"] for each in restored.history.fields()] == ["restore", "whole"]
+    assert restored.apply(9, backup).outcome is CommandOutcome.ALREADY_ACCEPTED
+
+
+def test_a_cluster_restored_from_a_backup_without_commands_rejects_none_that_may_have_been_accepted():
+    machine, restored = ConfigurationStateMachine(), ConfigurationStateMachine()
+    first, second = replace(3, 0, route("a")), replace(4, 3)
+    outcomes(machine, first, second)
+    saved = Backup("2026-12-02T07:00:00+00:00", machine.current.document(), [])
+    assert outcomes(restored, restore(saved.restore_document()), first, second, replace(9, 4)) == [
+        CommandOutcome.ACCEPTED,
+        CommandOutcome.TOO_OLD,
+        CommandOutcome.TOO_OLD,
+        CommandOutcome.ACCEPTED,
+    ]
+
+
+def test_a_backup_is_not_restored_over_a_configuration():
+    machine = ConfigurationStateMachine()
+    outcomes(machine, replace(3, 0))
+    before = machine.snapshot()
+    assert outcomes(machine, restore(machine.backup())) == [CommandOutcome.VERSION_CONFLICT]
+    assert machine.snapshot() == before
+
+
+def test_a_backup_with_an_invalid_configuration_changes_nothing():
+    machine = ConfigurationStateMachine()
+    backup = {
+        "configuration": configuration(3, route("a", service="nobody")),
+        "accepted_commands": [{"digest": "00" * 16, "version": 3}],
+        "last_evicted_version": 2,
+    }
+    assert outcomes(machine, restore(backup), replace(5, 0)) == [CommandOutcome.INVALID, CommandOutcome.ACCEPTED]
+
+
+def test_the_commands_evicted_before_a_backup_stay_evicted(monkeypatch):
+    monkeypatch.setattr(state_machine, "MAX_REMEMBERED_COMMANDS", 2)
+    machine, restored = ConfigurationStateMachine(), ConfigurationStateMachine()
+    outcomes(machine, *(replace(version, version - 1) for version in range(1, 5)))
+    outcomes(restored, restore(machine.backup()))
+    assert outcomes(restored, replace(1, 0), replace(2, 1)) == [CommandOutcome.TOO_OLD] * 2
+
+
 @pytest.mark.parametrize("command", [b"", b"\xc1", b"\x91\xa7nothing", b"\x91\xa8cp.order"])
 def test_a_malformed_command_is_invalid_and_does_not_stop_the_state_machine(command):
     machine = ConfigurationStateMachine()
--- a/tests/control_plane/config/test_commands_under_loss.py
+++ b/tests/control_plane/config/test_commands_under_loss.py
@@ -1,9 +1,11 @@
 """One command wins on each version while operators race and lose responses, and controllers crash, part and compact."""
 
+import dataclasses
+
 import pytest
 
 from ochrespan.control_plane.config import state_machine
-from ochrespan.control_plane.config.state_machine import ConfigurationStateMachine
+from ochrespan.control_plane.config.state_machine import CommandOutcome, ConfigurationStateMachine
 from tests.support.raft_simulation.checks import Violation
 from tests.support.raft_simulation.faults import SETTLE_S, HarshFaultInjector
 from tests.support.raft_simulation.operators import ConfigMachine, Operator, ResponseLog
@@ -64,6 +66,20 @@
     assert_detected({"a retry rejected", "a confirmed command is not in force"})
 
 
+def test_a_rejection_on_a_version_that_does_not_exist_yet_is_detected(monkeypatch):
+    """A late copy of the command is accepted once that version exists."""
+    original = ConfigurationStateMachine._evaluate
+
+    def reject(self, command):
+        result = original(self, command)
+        if result.outcome is CommandOutcome.VERSION_NOT_REACHED:
+            return dataclasses.replace(result, outcome=CommandOutcome.VERSION_CONFLICT)
+        return result
+
+    monkeypatch.setattr(ConfigurationStateMachine, "_evaluate", reject)
+    assert_detected({"confirmed after a rejection", "a rejected command is in force"})
+
+
 def test_commands_that_build_on_any_version_are_detected(monkeypatch):
     original = ConfigurationStateMachine._evaluate
 
--- a/tests/golden/fleet_documents.py
+++ b/tests/golden/fleet_documents.py
@@ -103,6 +103,12 @@
     "instances": [],
 }
 
+STATE: dict[str, Any] = {
+    "configuration": CONFIGURATION,
+    "accepted_commands": [{"digest": "00ff" * 8, "version": 4}, {"digest": "0a0b" * 8, "version": 5}],
+    "last_evicted_version": 2,
+}
+
 HISTORY: dict[str, Any] = {
     "changes": [
         {
--- a/tests/golden/test_fleetctl_output.py
+++ b/tests/golden/test_fleetctl_output.py
@@ -20,6 +20,7 @@
     REFUSAL,
     SETTINGS,
     SETTINGS_WITH_FINDINGS,
+    STATE,
     STATUS,
 )
 from tests.golden.programs import run_program
@@ -56,13 +57,16 @@
 FLEET = {
     "GET /api/status": (200, STATUS),
     "GET /api/config": (200, CONFIGURATION),
+    "GET /api/config/backup": (200, STATE),
     "GET /api/config/history": (200, HISTORY),
     "PUT /api/config": (200, {"generation": 8}),
+    "PUT /api/config/backup": (200, {"generation": 5}),
     "PUT /api/leadership": (200, {}),
     "PUT /api/readiness": (200, {}),
     "PUT /api/instances/i-1": (200, {}),
     "PUT /api/instances/i-2": (200, {}),
 }
+EARLIER_FLEET = {place: answer for place, answer in FLEET.items() if not place.endswith("/backup")}
 EMPTY_FLEET = {
     "GET /api/status": (200, EMPTY_STATUS),
     "GET /api/config": (200, {"generation": 0, "routes": [], "services": []}),
@@ -212,13 +216,34 @@
 
 
 def test_the_file_that_a_backup_writes(files, snapshot):
-    run_against(FLEET, "backup OUT", files)
+    """Controllers of an earlier version name no accepted commands."""
+    run_against(EARLIER_FLEET, "backup OUT", files)
     persisted = json.loads(files["OUT"].read_text())
     assert json.dumps({**persisted, "taken_at": "TIME", "checksum": "CHECKSUM"}, indent=2) == snapshot
     body = {name: persisted[name] for name in ("taken_at", "configuration", "instances")}
     assert files["OUT"].read_text() == backup_text(**body)
 
 
+def test_the_file_that_a_backup_with_accepted_commands_writes(files, snapshot):
+    run_against(FLEET, "backup OUT", files)
+    persisted = json.loads(files["OUT"].read_text())
+    assert json.dumps({**persisted, "taken_at": "TIME", "checksum": "CHECKSUM"}, indent=2) == snapshot
+    body = {name: persisted[name] for name in ("taken_at", "configuration", "instances")}
+    earlier = json.loads(backup_text(**body))
+    assert {name: persisted[name] for name in earlier} == earlier
+
+
+@pytest.mark.parametrize("command", ["backup OUT", "restore BACKUP"])
+@pytest.mark.parametrize("empty", [True, False])
+def test_a_fleet_of_an_earlier_version(command, empty, files, snapshot):
+    answers = {**EARLIER_FLEET, **EMPTY_FLEET} if empty else EARLIER_FLEET
+    assert run_against(answers, command, files) == snapshot
+
+
+def test_a_restore_into_an_empty_fleet_sends_the_accepted_commands(files, snapshot):
+    assert run_against({**FLEET, **EMPTY_FLEET}, "restore BACKUP", files) == snapshot
+
+
 @pytest.mark.parametrize("name", LOCAL_REFUSALS)
 def test_a_command_that_refuses_by_itself(name, files, snapshot):
     assert run_against(FLEET, LOCAL_REFUSALS[name], files) == snapshot
--- a/tests/golden/wire_samples.py
+++ b/tests/golden/wire_samples.py
@@ -11,9 +11,15 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ochrespan.control_plane.config.commands import ConfigCommand, ConfigCommandKind, make_command
+from ochrespan.control_plane.config.commands import (
+    ConfigCommand,
+    ConfigCommandKind,
+    RestoreCommand,
+    make_command,
+    make_restore_command,
+)
 from ochrespan.control_plane.config.configuration import ConfigurationChange, SectionChange
-from ochrespan.control_plane.config.owner import ReadConfiguration, ReadHistory
+from ochrespan.control_plane.config.owner import ReadBackup, ReadConfiguration, ReadHistory
 from ochrespan.control_plane.config.state_machine import ConfigurationStateMachine
 from ochrespan.control_plane.feed import messages as feed_messages
 from ochrespan.control_plane.owner_calls import NotOwnerResponse
@@ -51,6 +57,7 @@
 REGISTERED_FIELDS = {
     "call": ["number", "body"],
     "cp.answer": ["status", "packed_body"],
+    "cp.backup": [],
     "cp.elsewhere": [],
     "cp.ended": ["shard", "id"],
     "cp.expire": ["sequences"],
@@ -61,6 +68,7 @@
     "cp.register": ["record"],
     "cp.remove": ["id"],
     "cp.report": ["shard", "record"],
+    "cp.restore": ["digest", "body", "received_ms=0"],
     "feed.delta": ["shard", "previous", "offset", "body"],
     "feed.freshness": [
         "quorum_ages",
@@ -172,6 +180,13 @@
     return make_command(ConfigCommandKind.PATCH, 7, PATCH_DOCUMENT, RECEIVED_MS + 1)
 
 
+def restore_order() -> RestoreCommand:
+    """An order that restores a backup of the configuration of `whole_order`."""
+    accepted = [{"digest": whole_order().digest.hex(), "version": 7}]
+    backup = {"configuration": FIRST_DOCUMENT, "accepted_commands": accepted, "last_evicted_version": 3}
+    return make_restore_command(backup, RECEIVED_MS + 2)
+
+
 MESSAGE_CASES = [
     message_case("call", RpcRequest(number=LARGE_INDEX, body=b"\x91\xa7cp.read")),
     message_case("reply", RpcResponse(number=3, body=b"", error="no leader"), ("",)),
@@ -191,6 +206,8 @@
     message_case("cp.homes/empty", AssignPrefixes(service="chat", entries=[])),
     message_case("cp.order/whole", whole_order(), (0,)),
     message_case("cp.order/patch", patch_order(), (0,)),
+    message_case("cp.backup", ReadBackup()),
+    message_case("cp.restore", restore_order(), (0,)),
     message_case(
         "feed.subscribe",
         feed_messages.Subscribe(node="router-1", zone="zone-a", offsets={0: LARGE_INDEX, 4: 2}, cluster=LARGE_CLUSTER),
--- a/tests/programs/test_fleetctl.py
+++ b/tests/programs/test_fleetctl.py
@@ -9,7 +9,7 @@
 from ochrespan.control_plane.shards import ALL_SHARDS
 from ochrespan.programs import fleetctl
 from ochrespan.programs.fleetctl_commands import control_client
-from ochrespan.programs.fleetctl_commands.backup_file import Backup, read_backup, write_backup
+from ochrespan.programs.fleetctl_commands.backup_file import AcceptedCommands, Backup, read_backup, write_backup
 from tests.support.control_plane_world import World, configuration, instance, route, service, tenant
 
 
@@ -175,6 +175,32 @@
     assert states(world) == {"i-1": "draining"}
 
 
+def test_a_new_fleet_recognises_the_commands_that_the_backup_names(run, world, write, tmp_path):
+    file = tmp_path / "fleet.backup"
+    first = configuration(5)
+    assert run("config", "apply", write(first))[0] == 0
+    assert run("backup", file)[0] == 0
+    new = World(members=2)
+    try:
+        addresses = [f"127.0.0.1:{each.http.server_port}" for each in new.controllers]
+        assert fleetctl.main(["restore", str(file), "--controllers", *addresses]) == 0
+        assert new.controllers[1].put_config(first, 0) == (200, {"generation": 5})
+        assert new.controllers[0].put_config(configuration(6), 0)[0] == 412
+        state = new.controllers[1].call("GET", "/api/config/backup")[1]
+        assert [each["version"] for each in state["accepted_commands"]] == [5, 5]
+        assert new.controllers[0].call("PUT", "/api/config/backup", state)[0] == 412
+    finally:
+        new.close()
+
+
+def test_a_new_fleet_rejects_no_old_command_after_a_backup_without_commands(run, world, tmp_path):
+    file = tmp_path / "fleet.backup"
+    write_backup(file, Backup("2026-12-02T07:00:00+00:00", configuration(40), []))
+    assert run("restore", file)[0] == 0
+    assert world.controllers[0].put_config(configuration(40), 0)[0] == 503
+    assert world.controllers[0].put_config(configuration(41), 40)[0] == 200
+
+
 @pytest.mark.parametrize("text", ["{cut", "[]", "{}", '{"format": "another"}'])
 def test_a_file_that_is_no_backup_is_rejected_with_its_path(run, write, text):
     path = write(text, "damaged.backup")
@@ -201,6 +227,24 @@
     assert [path.name for path in tmp_path.iterdir()] == ["fleet.backup"]
 
 
+def test_the_accepted_commands_in_a_backup_are_checked_too(tmp_path):
+    file = tmp_path / "fleet.backup"
+    commands = AcceptedCommands([{"digest": "0a" * 16, "version": 40}], 3)
+    saved = Backup("2026-12-02T07:00:00+00:00", configuration(40), [], commands)
+    write_backup(file, saved)
+    assert read_backup(file) == saved
+    complete = file.read_text()
+    document = json.loads(complete)
+    for damaged in (complete.replace("0a0a", "0b0b", 1), json.dumps({**document, "commands": []})):
+        file.write_text(damaged)
+        with pytest.raises(ValidationError, match="commands"):
+            read_backup(file)
+    for accepted in ([{"digest": "short", "version": 40}], [{"version": 40}], "none"):
+        write_backup(file, Backup(saved.taken_at, saved.configuration, [], AcceptedCommands(accepted, 3)))
+        with pytest.raises(ValidationError, match="accepted_commands"):
+            read_backup(file)
+
+
 def test_settings_are_validated_with_all_findings_at_once(tmp_path, capsys):
     file = tmp_path / "node.yaml"
     file.write_text("node: core-1\nip: 10.0.0.1\nzone: a\nport_range: [9, 3]\nseeds: [nowhere]\nlisten: {}\n")
--- a/tests/support/raft_simulation/operators.py
+++ b/tests/support/raft_simulation/operators.py
@@ -1,7 +1,11 @@
-"""Operators who send changes of the configuration, race each other, and retry a command until it has a response."""
+"""Operators who send changes of the configuration, race each other, and retry a command until it has a response.
+
+Some of their commands build on a version that does not exist yet, and copies of commands are delivered late.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 import ormsgpack
@@ -13,11 +17,16 @@
 from .node import Machine
 
 if TYPE_CHECKING:
+    from .node import Node
     from .world import World
 
 SHARD = 0
 RESPONSE_TIMEOUT_S = 1.0
 GAP_S = 0.1
+EARLY_CHANCE = 0.2  # that a command builds on a version that the operator expects, but has not seen
+LATE_COPY_CHANCE = 0.3  # that a command is delivered a second time
+LATE_COPY_S = (0.1, 4.0)  # how much later
+OPEN_OUTCOMES = (CommandOutcome.TOO_OLD, CommandOutcome.VERSION_NOT_REACHED)  # neither confirmed nor rejected
 
 
 class ConfigMachine(Machine):
@@ -62,7 +71,7 @@
             if self.confirmed.setdefault(builds_on, digest) != digest:
                 raise Violation("two commands on one version", f"on {builds_on}")
             self.retries_confirmed += result.outcome is CommandOutcome.ALREADY_ACCEPTED
-        elif result.outcome is not CommandOutcome.TOO_OLD:
+        elif result.outcome not in OPEN_OUTCOMES:
             if self.confirmed.get(builds_on) == digest:
                 raise Violation("a retry rejected", f"the command on {builds_on}: {result.outcome.value}")
             self.rejected.add(digest)
@@ -91,15 +100,20 @@
 
     def _next(self) -> None:
         self._made += 1
+        random = self._world.random
+        builds_on = self.version + (random.randint(1, 3) if random.random() < EARLY_CHANCE else 0)
         document: dict[str, Any] = {
-            "generation": self.version + self._world.random.randint(1, 3),
+            "generation": builds_on + random.randint(1, 3),
             "routes": [
                 {"name": f"{self._name}{self._made}", "hostname": "h", "path_prefix": f"/{self._made}/", "backend": "s"}
             ],
             "services": [{"name": "s"}],
         }
-        command = make_command(ConfigCommandKind.REPLACE, self.version, document)
-        self._send(encode_command(command).hex(), command.digest, self.version)
+        command = make_command(ConfigCommandKind.REPLACE, builds_on, document)
+        encoded = encode_command(command).hex()
+        if random.random() < LATE_COPY_CHANCE:
+            self._world.later(random.uniform(*LATE_COPY_S), None, lambda: self._propose(encoded, lambda _result: None))
+        self._send(encoded, command.digest, builds_on)
 
     def _send(self, command: str, digest: bytes, builds_on: int) -> None:
         """Sends to any machine that accepts it, and again unchanged after a time without a response."""
@@ -110,17 +124,22 @@
             if number == self._attempts:
                 self._responded(digest, builds_on, result)
 
-        nodes = self._world.running()
-        self._world.random.shuffle(nodes)
-        for node in nodes:
-            if node.propose(SHARD, command, respond):
-                break
+        nodes = self._propose(command, respond)
         self._world.later(
             RESPONSE_TIMEOUT_S if nodes else GAP_S,
             None,
             lambda: number == self._attempts and self._send(command, digest, builds_on),
         )
 
+    def _propose(self, command: str, respond: Callable[[CommandResult], None]) -> list[Node]:
+        """Proposes a command to the first machine that accepts it; returns the machines that ran."""
+        nodes = self._world.running()
+        self._world.random.shuffle(nodes)
+        for node in nodes:
+            if node.propose(SHARD, command, respond):
+                break
+        return nodes
+
     def _responded(self, digest: bytes, builds_on: int, result: CommandResult) -> None:
         if self._world.random.random() < self.responses_lost:
             return  # lost on its way to the operator
