A new cluster accepts commands once every initial member has been in it

Cause: an initial member that loses its disk while its settings still say bootstrap: true, and one that is late, cannot tell a running cluster out of reach from a first start. Two losses before the bootstrap was complete left a group without a majority for good.

A leader waits until every initial member is a voter with an entry, appends a marker, and accepts commands once all have acknowledged it. A process without a marker knows that its cluster has acknowledged nothing, and leaves it for one that may have (message ClusterInUse), where it is alone in it, or where its groups have lost their voters. fleetctl bootstrap proceed (PUT /api/bootstrap) is the operator's word for a seed that never comes; status and log name it. The cluster's number is told from the marker on.

--- a/ochrespan/control_plane/api/forwarding.py
+++ b/ochrespan/control_plane/api/forwarding.py
@@ -15,6 +15,7 @@
 
 import gevent
 
+from ochrespan.common.addresses import format_address
 from ochrespan.control_plane.config.commands import ConfigCommand, RestoreCommand
 from ochrespan.control_plane.config.owner import (
     ConfigurationOwner,
@@ -94,6 +95,13 @@
         self._groups.decline_leadership(duration_s)
         return json_response(OK, {"declines_leadership_for_s": duration_s})
 
+    def proceed_without_missing_members(self) -> Response:
+        """Accepts commands here although initial members are missing: an operator says that they will not come."""
+        missing = [format_address(address) for address in self._groups.missing_initial_members()]
+        self._groups.proceed_without_missing()
+        log.warning("operator proceeds without initial members missing=%s", ",".join(missing) or "none")
+        return json_response(OK, {"missing_initial_members": missing})
+
     def report_instance(self, record: InstanceRecord) -> Response:
         """Registers an instance, or takes its heartbeat."""
         shard = shard_of(record.backend)
--- a/ochrespan/control_plane/api/handlers.py
+++ b/ochrespan/control_plane/api/handlers.py
@@ -19,6 +19,7 @@
 from ochrespan.control_plane.config.commands import ConfigCommandKind, make_command, make_restore_command
 from ochrespan.control_plane.config.documents import (
     CHECK_BACKUP,
+    CHECK_BOOTSTRAP,
     CHECK_CONFIGURATION,
     CHECK_INSTANCE,
     CHECK_LEADERSHIP,
@@ -80,6 +81,7 @@
         self._is_ready = is_ready
         self._registry = registry
         self._routes: dict[str, dict[str, Handler]] = {
+            "/api/bootstrap": {"PUT": self._put_bootstrap},
             "/api/config": {"GET": self._get_config, "PUT": self._put_config, "PATCH": self._patch_config},
             "/api/config/backup": {"GET": self._get_backup, "PUT": self._put_backup},
             "/api/config/history": {"GET": self._get_history},
@@ -166,6 +168,12 @@
         document = read_json(_read_body(environment), CHECK_LEADERSHIP)
         return self._service.decline_leadership(document["decline_for_s"])
 
+    def _put_bootstrap(self, environment: Environment) -> Response:
+        document = read_json(_read_body(environment), CHECK_BOOTSTRAP)
+        if not document["proceed_without_missing"]:
+            raise ValidationError([Finding("proceed_without_missing", "false", "true")])
+        return self._service.proceed_without_missing_members()
+
     def _put_instance(self, environment: Environment) -> Response:
         instance_id = _read_instance_id(environment)
         document = read_json(_read_body(environment), CHECK_INSTANCE)
--- a/ochrespan/control_plane/config/documents.py
+++ b/ochrespan/control_plane/config/documents.py
@@ -255,6 +255,13 @@
     decline_for_s: Annotated[float, number()]
 
 
+class BootstrapDocument(TypedDict):
+    """The body of `PUT /api/bootstrap`: an operator says that the missing initial members will not come."""
+
+    proceed_without_missing: Annotated[bool, flag]
+
+
+CHECK_BOOTSTRAP = typed_dict(BootstrapDocument)
 CHECK_CONFIGURATION = typed_dict(ConfigurationDocument)
 CHECK_PATCH = typed_dict(PatchDocument)
 CHECK_INSTANCE = typed_dict(InstanceDocument)
--- a/ochrespan/control_plane/controller.py
+++ b/ochrespan/control_plane/controller.py
@@ -167,6 +167,7 @@
             "node": self._settings.node,
             "zone": self._settings.zone,
             "cluster": cluster_name(self._groups.cluster()),
+            "missing_initial_members": [format_address(each) for each in self._groups.missing_initial_members()],
             "version": self._state.configuration.current.version,
             "declines_leadership_for_s": round(self._groups.declines_leadership_for(), 1),
             "shards": [self._shard_status(shard) for shard in ALL_SHARDS],
--- a/ochrespan/control_plane/replication/applier.py
+++ b/ochrespan/control_plane/replication/applier.py
@@ -78,7 +78,7 @@
 
     def _apply(self, shard: int, index: int, entry: Entry) -> None:
         result = None
-        if entry.kind == EntryKind.COMMAND:
+        if entry.kind == EntryKind.COMMAND and entry.data:  # one without content is a marker, see `raft.opening`
             result = self._apply_command(shard, index, entry.data)
         proposal = self._proposals.pop((shard, index), None)
         if proposal is None:
--- a/ochrespan/control_plane/replication/groups.py
+++ b/ochrespan/control_plane/replication/groups.py
@@ -30,7 +30,13 @@
         """Whether this process leads the shard."""
 
     def cluster(self) -> int:
-        """Number of the cluster that this process belongs to; 0 while it belongs to none."""
+        """Number of the cluster that this process belongs to; 0 while it belongs to none that may have commands."""
+
+    def missing_initial_members(self) -> list[Address]:
+        """The initial members without which a shard that is led here accepts no commands yet."""
+
+    def proceed_without_missing(self) -> None:
+        """An operator says that the missing initial members will not come; this holds until the process ends."""
 
     def failures_tolerated(self, shard: int) -> int | None:
         """How many more voters may fail now, of a shard that is led here; None of another."""
--- a/ochrespan/control_plane/replication/host.py
+++ b/ochrespan/control_plane/replication/host.py
@@ -204,8 +204,22 @@
     # State of the groups
 
     def cluster(self) -> int:
-        """Number of the cluster that this process belongs to; 0 while it belongs to none."""
-        return self._running.multi_raft.bootstrap.identity.cluster_id if self._running is not None else 0
+        """Number of the cluster that this process belongs to.
+
+        0 while it belongs to none, or to one that has acknowledged nothing, as it may leave that for another.
+        """
+        if self._running is None or self._running.multi_raft.has_acknowledged_nothing:
+            return 0
+        return self._running.multi_raft.bootstrap.identity.cluster_id
+
+    def missing_initial_members(self) -> list[Address]:
+        """The initial members without which a shard that is led here accepts no commands yet."""
+        return self._running.multi_raft.opening.missing_members() if self._running is not None else []
+
+    def proceed_without_missing(self) -> None:
+        """An operator says that the missing initial members will not come; this holds until the process ends."""
+        if self._running is not None:
+            self._running.multi_raft.opening.proceed_without_missing()
 
     def voters(self, shard: int) -> set[Address]:
         """Addresses of the shard's voters as far as known here; in a change of members, the old and the new ones."""
--- a/ochrespan/control_plane/replication/raft_wire.py
+++ b/ochrespan/control_plane/replication/raft_wire.py
@@ -7,7 +7,13 @@
 from typing import Any
 
 from ochrespan.common.addresses import Address
-from ochrespan.raft.cluster_messages import BootstrapProposal, JoinRequest, JoinResponse, LeaveNotice
+from ochrespan.raft.cluster_messages import (
+    BootstrapProposal,
+    ClusterInUse,
+    JoinRequest,
+    JoinResponse,
+    LeaveNotice,
+)
 from ochrespan.raft.envelope import Envelope
 from ochrespan.raft.log import Snapshot
 from ochrespan.raft.membership_config import Member, MembershipConfig
@@ -40,6 +46,7 @@
     JoinResponse,
     BootstrapProposal,
     LeaveNotice,
+    ClusterInUse,
 )
 _TYPE_NUMBERS = {message_type: number for number, message_type in enumerate(_MESSAGE_TYPES)}
 _FIELD_NAMES = {
--- a/ochrespan/programs/fleetctl.py
+++ b/ochrespan/programs/fleetctl.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import defopt
+from returns.result import Success
 
 from ochrespan.common.validation import ValidationError
 from ochrespan.control_plane.api.handlers import CLUSTER_HEADER
@@ -18,6 +19,7 @@
 from ochrespan.programs.fleetctl_commands.common import (
     client_for_fleet,
     client_for_process,
+    clients_for_each,
     current_configuration,
     fleet_status,
     read_configuration,
@@ -141,6 +143,24 @@
     return f"{controller}: leads nothing for {for_s:g} s" if for_s else f"{controller}: may lead again"
 
 
+def proceed(*, controllers: list[str] | None = None) -> str:
+    """Let a new fleet accept commands although initial members are missing, at every controller that is named.
+
+    Only for initial members that will never come, and that have been in no other fleet.
+
+    :param controllers: control addresses, each of which is told
+    """
+    document = {"proceed_without_missing": True}
+    results = [client.put("/api/bootstrap", document) for client in clients_for_each(controllers)]
+    told = [result.unwrap() for result in results if isinstance(result, Success)]
+    if not told:
+        unwrap_document(results[-1])  # raises
+    missing = {address for response in told for address in response["missing_initial_members"]}
+    report = [f"proceeds without: {', '.join(sorted(missing)) or 'nobody is missing'}"]
+    failures = [str(result.failure()) for result in results if not isinstance(result, Success)]
+    return "\n".join([*report, *failures])
+
+
 def drain_router(router: str) -> str:
     """Make a router say that it is not ready, so that the platform sends it no new connections.
 
@@ -176,6 +196,7 @@
     "drain": drain,
     "router": {"drain": drain_router, "activate": activate_router},
     "hand-over": hand_over,
+    "bootstrap": {"proceed": proceed},
     "backup": backup,
     "restore": restore,
     "settings": {"check": check_settings},
--- a/ochrespan/programs/fleetctl_commands/common.py
+++ b/ochrespan/programs/fleetctl_commands/common.py
@@ -20,7 +20,12 @@
 
 def client_for_fleet(controllers: list[str] | None) -> ControlClient:
     """A client of the controllers at these addresses, or at the seeds of the settings file; raises ValidationError."""
-    return ControlClient(_parse_addresses("--controllers", controllers or read_settings(settings_path())["seeds"]))
+    return ControlClient(_controller_addresses(controllers))
+
+
+def clients_for_each(controllers: list[str] | None) -> list[ControlClient]:
+    """A client for each controller by itself, for what every one of them has to be told; raises ValidationError."""
+    return [ControlClient([address]) for address in _controller_addresses(controllers)]
 
 
 def client_for_process(argument: str, address: str) -> ControlClient:
@@ -58,6 +63,10 @@
     raise CommandFailedError(str(failure))
 
 
+def _controller_addresses(controllers: list[str] | None) -> list[Address]:
+    return _parse_addresses("--controllers", controllers or read_settings(settings_path())["seeds"])
+
+
 def _parse_addresses(argument: str, texts: list[str]) -> list[Address]:
     try:
         return [parse_address(text) for text in texts]
--- a/ochrespan/programs/fleetctl_commands/reports.py
+++ b/ochrespan/programs/fleetctl_commands/reports.py
@@ -37,6 +37,8 @@
     )
     if status["declines_leadership_for_s"]:
         summary += f"; it leads nothing for {status['declines_leadership_for_s']:g} s more"
+    if missing := status.get("missing_initial_members"):
+        summary += f"; no commands before these initial members are there: {', '.join(missing)}"
     return summary + "\n" + table(("shard", "leader", "majority known", "offset", "bears losses"), rows)
 
 
--- a/ochrespan/raft/bootstrap.py
+++ b/ochrespan/raft/bootstrap.py
@@ -40,6 +40,7 @@
 ABANDON_AFTER_S = 1.5
 # the same in a first start where a majority of the initial members is there, but no majority of the bootstrap's voters
 ABANDON_FIRST_START_AFTER_S = 0.5
+LEADERLESS_AFTER_S = 3.0  # several elections: a group without a leader for longer has lost its majority for good
 MAX_REPORT_AGE_S = 1.0  # a report older than this is not considered
 
 
@@ -72,6 +73,7 @@
     initial_members: tuple[Address, ...]
     first_started_at: float | None  # by the receiver's clock; None if the process was started before with its disk
     last_contact_at: float
+    cluster_id: int = 0  # 0: of no cluster
 
 
 def generate_replica_id(source: random.Random) -> int:
@@ -93,6 +95,8 @@
         self._knows_existing_group = False
         self._bootstrapped_at = 0.0
         self._all_without_entries_since: float | None = None
+        self._deserted_since: float | None = None
+        self._leaderless_since: float | None = None
 
     @classmethod
     def begin(cls, settings: BootstrapSettings, known: Identity | None, source: random.Random, now: float) -> Bootstrap:
@@ -137,8 +141,15 @@
         """A leader has sent to another replica id at this address: a group exists, and had another disk here."""
         self._knows_existing_group = True
 
-    def record_report(self, now: float, replica_id: int, address: Address, message: JoinRequest | JoinResponse) -> None:
-        """Keeps what a process reports about its disk."""
+    def record_report(
+        self,
+        now: float,
+        replica_id: int,
+        address: Address,
+        message: JoinRequest | JoinResponse,
+        cluster_id: int = 0,
+    ) -> None:
+        """Keeps what a process, of the cluster `cluster_id` or of none, reports about its disk."""
         first_started_at = None if message.age_s < 0 else now - message.age_s
         self._reports[address] = PeerReport(
             replica_id,
@@ -147,6 +158,7 @@
             message.initial_members,
             first_started_at,
             now,
+            cluster_id,
         )
         self._knows_existing_group |= not message.is_unbootstrapped and not message.has_no_entries
 
@@ -193,7 +205,7 @@
         """
         self._bootstrapped_at = now
         self.identity = replace(self.identity, cluster_id=cluster_id_of(message.members))
-        self._all_without_entries_since = None
+        self._forget_spans()
         return MembershipConfig.of(message.members)
 
     def has_stalled(self, now: float, voters: Iterable[Member]) -> bool:
@@ -222,10 +234,43 @@
         is_overdue = now - self._bootstrapped_at >= ABANDON_FIRST_START_AFTER_S
         return is_overdue and lacks_majority and self._is_majority_in_first_start(now, without_entries)
 
+    def is_stuck(self, now: float, lacks_leader: bool) -> bool:
+        """Whether this cluster is to be left for a new bootstrap, as it will not come to accept commands.
+
+        To be called only while it cannot have acknowledged any. Every other initial member is in reach, and
+
+        - each is in another cluster or in none, for ABANDON_AFTER_S; or
+        - a group has no leader here (`lacks_leader`), for LEADERLESS_AFTER_S: the disks of its voters were lost.
+        """
+        others = set(self.identity.initial_members) - {self.settings.address}
+        reports = self._recent_reports(now)
+        are_all_in_reach = bool(others) and len(reports) == len(others)
+        is_deserted = all(report.cluster_id != self.identity.cluster_id for report in reports.values())
+        self._deserted_since = _start_of_span(self._deserted_since, now, are_all_in_reach and is_deserted)
+        self._leaderless_since = _start_of_span(self._leaderless_since, now, are_all_in_reach and lacks_leader)
+        is_deserted_for_long = self._deserted_since is not None and now - self._deserted_since >= ABANDON_AFTER_S
+        is_leaderless_for_long = (
+            self._leaderless_since is not None and now - self._leaderless_since >= LEADERLESS_AFTER_S
+        )
+        return is_deserted_for_long or is_leaderless_for_long
+
+    def known_initial_members(self) -> tuple[Address, ...]:
+        """The initial members as recorded here, or else as another process has reported them; empty if unknown."""
+        if self.identity.initial_members:
+            return self.identity.initial_members
+        recorded = (report.initial_members for report in self._reports.values() if report.initial_members)
+        return next(recorded, ())
+
     def abandon(self) -> None:
-        """Leaves a cluster without entries: unbootstrapped again under a new id; the recorded addresses stay."""
+        """Leaves a cluster that has acknowledged nothing, and takes a new id; the recorded addresses stay."""
         self.identity = Identity(generate_replica_id(self._random), 0, self.identity.initial_members)
+        self._forget_spans()
+
+    def _forget_spans(self) -> None:
+        """What was observed of one cluster says nothing about the next."""
         self._all_without_entries_since = None
+        self._deserted_since = None
+        self._leaderless_since = None
 
     @staticmethod
     def _is_reachable(now: float, report: PeerReport | None, voter: Member) -> bool:
@@ -275,3 +320,10 @@
                 return False
             started_at.append(report.first_started_at)
         return max(started_at) - min(started_at) <= MAX_START_SPREAD_S
+
+
+def _start_of_span(since: float | None, now: float, holds: bool) -> float | None:
+    """Since when a condition has held without a gap: `since`, or now if it begins; None where it does not hold."""
+    if not holds:
+        return None
+    return now if since is None else since
--- a/ochrespan/raft/bootstrap_protocol.py
+++ b/ochrespan/raft/bootstrap_protocol.py
@@ -18,6 +18,14 @@
 - A bootstrap without progress is abandoned as `Bootstrap.has_stalled` decides: for example, if the id in the place
   of a late member answers nobody and one of the others was lost.
 
+Two clusters with entries come to be where an initial member has lost its disk, and together with a late one takes that
+for a first start, or where the others of a bootstrap have lost their disks. `opening` sees to it that at most one of
+them acknowledges commands. A process whose cluster has acknowledged nothing leaves it
+
+- when a process at the address of a seed says that its own cluster may have acknowledged commands (`ClusterInUse`);
+- when all initial members are in reach, and it is alone in its cluster or a group there has no leader for long
+  (`Bootstrap.is_stuck`).
+
 All other messages of another cluster are ignored: two deployments may have been given each other's addresses.
 """
 
@@ -28,9 +36,9 @@
 from ochrespan.common.addresses import Address
 
 from .bootstrap import BOOTSTRAP_QUERY_INTERVAL_S, QUERY_INTERVAL_S
-from .cluster_messages import BootstrapProposal, JoinRequest, JoinResponse, cluster_id_of
+from .cluster_messages import BootstrapProposal, ClusterInUse, JoinRequest, JoinResponse, cluster_id_of
 from .envelope import PROCESS_GROUP, Envelope
-from .joining import build_join_response
+from .joining import build_join_response, lacks_leader
 from .local_groups import LocalGroups
 from .membership_config import Member
 
@@ -52,6 +60,15 @@
 
     def tick(self, now: float) -> None:
         """Proposes a bootstrap if that is allowed by now, and repeats one whose groups have no entry yet."""
+        local = self._local
+        is_member = not local.bootstrap.is_unbootstrapped
+        if (
+            is_member
+            and local.has_acknowledged_nothing
+            and local.bootstrap.is_stuck(now, any(lacks_leader(now, replica) for replica in local.replicas.values()))
+        ):
+            log.warning("bootstrap abandoned: no commands to come replica=%d", local.bootstrap.identity.replica_id)
+            local.abandon_bootstrap(now)
         self.propose(now)
         if voters := self._voters_without_entries():
             self._announce(now, voters)
@@ -64,7 +81,7 @@
 
     def receive_report(self, now: float, envelope: Envelope, message: JoinRequest | JoinResponse) -> None:
         """Keeps what a process of this cluster, or of none, reports of its disk."""
-        self._local.bootstrap.record_report(now, envelope.sender, envelope.address, message)
+        self._local.bootstrap.record_report(now, envelope.sender, envelope.address, message, envelope.cluster_id)
 
     def receive_proposal(self, now: float, message: BootstrapProposal) -> None:
         """Takes the proposal of a process of this cluster, or of none, if this process is unbootstrapped."""
@@ -74,9 +91,17 @@
     def receive_from_other_cluster(self, now: float, envelope: Envelope) -> None:
         """Handles what processes of bootstraps that crossed send each other; see the head of this module."""
         local = self._local
+        if not local.has_acknowledged_nothing and not any(
+            isinstance(message, ClusterInUse) for _, message in envelope.frames
+        ):
+            local.send(envelope.address, envelope.sender, ClusterInUse())
         for group, message in envelope.frames:
             if group != PROCESS_GROUP:
                 continue
+            if isinstance(message, ClusterInUse) and self._yields_to(envelope.address):
+                log.warning("bootstrap abandoned: a peer's cluster has commands peer=%s:%d", *envelope.address)
+                local.abandon_bootstrap(now)
+                return
             if isinstance(message, JoinResponse) and message.has_commits and local.has_no_entries:
                 log.warning("bootstrap abandoned: a peer has committed entries peer=%s:%d", *envelope.address)
                 local.abandon_bootstrap(now)
@@ -84,7 +109,7 @@
             if isinstance(message, BootstrapProposal) and self._prefers(message):
                 self._start_groups(now, message)
                 return
-            if isinstance(message, JoinRequest):
+            if isinstance(message, JoinRequest | JoinResponse):
                 self.receive_report(now, envelope, message)
             if isinstance(message, JoinRequest | BootstrapProposal) and local.has_commits:
                 local.send(envelope.address, 0, build_join_response(local, now, ()))
@@ -97,6 +122,12 @@
                 local.bootstrap.identity.cluster_id,
             )
 
+    def _yields_to(self, address: Address) -> bool:
+        """Whether this process leaves its cluster because that of a process at `address` has been used."""
+        bootstrap = self._local.bootstrap
+        seeds = {*bootstrap.identity.initial_members, *bootstrap.settings.seeds}
+        return self._local.has_acknowledged_nothing and address in seeds
+
     def _prefers(self, message: BootstrapProposal) -> bool:
         """Whether the bootstrap of another cluster takes the place of this process's own."""
         local = self._local
--- a/ochrespan/raft/cluster_messages.py
+++ b/ochrespan/raft/cluster_messages.py
@@ -47,6 +47,11 @@
     has_voted: bool = False  # the sender has entered a term, so it may have voted in an election of these groups
 
 
+@dataclass(slots=True)
+class ClusterInUse:
+    """The sender's cluster may have acknowledged commands; sent to processes of another cluster."""
+
+
 @dataclass(slots=True)
 class LeaveNotice:
     """The sender's process has begun its planned shutdown."""
--- a/ochrespan/raft/joining.py
+++ b/ochrespan/raft/joining.py
@@ -24,9 +24,13 @@
         self.contacts: set[Address] = set(contacts)  # processes that may know the groups
 
     def send_requests(self, now: float) -> None:
-        """Asks every known process to add the replicas that have no leader."""
+        """Asks every known process to add the replicas that have no leader.
+
+        As long as the cluster may have acknowledged nothing it also asks where all have one, so that the initial
+        members know of each other.
+        """
         request = build_join_request(self._local, now, every_group=False)
-        if request.groups:
+        if request.groups or self._local.has_acknowledged_nothing:
             for address in sorted(self.contacts | {member.address for member in self._local.members()}):
                 self._local.send(address, 0, request)
 
@@ -52,7 +56,7 @@
     """A request for all groups, or for those whose replica here has no leader."""
     bootstrap = local.bootstrap
     return JoinRequest(
-        [group for group, replica in local.replicas.items() if every_group or _lacks_leader(now, replica)],
+        [group for group, replica in local.replicas.items() if every_group or lacks_leader(now, replica)],
         bootstrap.is_unbootstrapped,
         local.has_no_entries,
         bootstrap.identity.initial_members,
@@ -73,6 +77,7 @@
     )
 
 
-def _lacks_leader(now: float, replica: Replica) -> bool:
+def lacks_leader(now: float, replica: Replica) -> bool:
+    """Whether a replica neither leads nor has heard from a leader for LEADER_TIMEOUT_S."""
     core = replica.state
     return core.role is not Role.LEADER and now - core.last_leader_contact_at > LEADER_TIMEOUT_S
--- a/ochrespan/raft/local_groups.py
+++ b/ochrespan/raft/local_groups.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import Any
 
 from ochrespan.common.addresses import Address
@@ -27,6 +28,8 @@
         self.bootstrap = bootstrap
         self.timing = timing
         self.outbox: list[tuple[Address, int, Any]] = []  # address, replica id (0: unknown), message
+        # Whether the leader of a group accepts commands as far as the initial members are concerned
+        self.may_accept_commands: Callable[[Replica], bool] = lambda _replica: True
         self._random = source
         self.replicas = {group: self._create_replica(group, state, now) for group, state in durable.items()}
 
@@ -35,6 +38,19 @@
         """Whether no log has an entry: nothing that was acknowledged to a client can be on this disk alone."""
         return all(not replica.state.log.last_index for replica in self.replicas.values())
 
+    @property
+    def has_commands(self) -> bool:
+        """Whether a log has, or had, a command with content: the cluster has been opened for commands."""
+        return any(replica.state.log.has_commands for replica in self.replicas.values())
+
+    @property
+    def has_acknowledged_nothing(self) -> bool:
+        """Whether this cluster cannot have acknowledged a command yet: the groups here have not even a marker."""
+        return all(
+            replica.state.log.marker_index is None and not replica.state.log.has_commands
+            for replica in self.replicas.values()
+        )
+
     @property
     def has_voted(self) -> bool:
         """Whether a replica has entered a term, and with it may have voted."""
@@ -57,7 +73,7 @@
             self.outbox.append((address, to, message))
 
     def abandon_bootstrap(self, now: float) -> None:
-        """Leaves a cluster whose groups have no entry here: continues with empty replicas under a new id."""
+        """Leaves a cluster that has acknowledged nothing: continues with empty replicas under a new id."""
         self.bootstrap.abandon()
         for group in self.replicas:
             self.replicas[group] = self._create_replica(group, PersistentState(), now)
@@ -65,4 +81,6 @@
     def _create_replica(self, group: int, durable: PersistentState, now: float) -> Replica:
         min_voters = 2 * self.bootstrap.settings.fault_tolerance + 1
         replica_id = self.bootstrap.identity.replica_id
-        return Replica(ReplicaSettings(group, replica_id, min_voters, self.timing), durable, self._random, now)
+        replica = Replica(ReplicaSettings(group, replica_id, min_voters, self.timing), durable, self._random, now)
+        replica.may_accept_commands = lambda: self.may_accept_commands(replica)
+        return replica
--- a/ochrespan/raft/log.py
+++ b/ochrespan/raft/log.py
@@ -38,6 +38,7 @@
         self._start_term = snapshot.term
         self._entries: list[Entry] = []
         self._has_commands = False
+        self._marker_index: int | None = None
         self._configurations: list[tuple[int, MembershipConfig]] = [(snapshot.index, snapshot.configuration)]
         for entry in entries:
             self._push(entry)
@@ -72,11 +73,18 @@
 
     @property
     def has_commands(self) -> bool:
-        """Whether there is, or was, anything but configurations of the group."""
+        """Whether there is, or was, a command with content."""
         if not self._has_commands:
-            self._has_commands = self._start > 0 or any(entry.kind == EntryKind.COMMAND for entry in self._entries)
+            self._has_commands = self._start > 0 or any(
+                entry.kind == EntryKind.COMMAND and entry.data for entry in self._entries
+            )
         return self._has_commands
 
+    @property
+    def marker_index(self) -> int | None:
+        """Index of the first command without content (see `opening`); None while the log has none."""
+        return self._marker_index
+
     def configuration_at(self, index: int) -> MembershipConfig:
         """The configuration in force after `index`."""
         return next(configuration for at, configuration in reversed(self._configurations) if at <= index)
@@ -181,10 +189,14 @@
         self._entries.append(entry)
         if entry.kind == EntryKind.CONFIGURATION:
             self._configurations.append((self.last_index, MembershipConfig.from_bytes(entry.data)))
+        elif not entry.data and self._marker_index is None:
+            self._marker_index = self.last_index
 
     def _truncate(self, index: int) -> None:
         """Drops the entries from `index` on; a write in flight no longer says anything about them."""
         del self._entries[index - self._start - 1 :]
+        if self._marker_index is not None and self._marker_index >= index:
+            self._marker_index = None
         while self._configurations[-1][0] >= index:
             self._configurations.pop()
         self.persisted_index = min(self.persisted_index, index - 1)
--- a/ochrespan/raft/multi_raft.py
+++ b/ochrespan/raft/multi_raft.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from ochrespan.common.addresses import Address
@@ -16,7 +16,8 @@
 from .joining import Joining, build_join_request
 from .leader_balancer import LeaderBalancer
 from .local_groups import LocalGroups
-from .messages import AppendEntries, Heartbeat, InstallSnapshot
+from .messages import AppendEntries, AppendEntriesResponse, Heartbeat, InstallSnapshot
+from .opening import Opening
 from .planned_leave import PlannedLeave
 from .replica import Replica
 from .state import PersistentState, PersistentUpdate, Timing
@@ -65,6 +66,7 @@
         self._joining = Joining(self._local, settings.seeds)
         self._planned_leave = PlannedLeave(self._local)
         self._leader_balancer = LeaderBalancer(self._local, now)
+        self.opening = Opening(self._local)
         self._identity_taken = recovered.identity  # what `take_updates` last gave out
 
     @property
@@ -72,6 +74,11 @@
         """The replica id of this process, in all groups."""
         return self.bootstrap.identity.replica_id
 
+    @property
+    def has_acknowledged_nothing(self) -> bool:
+        """Whether this cluster cannot have acknowledged a command yet, so that this process may still leave it."""
+        return self._local.has_acknowledged_nothing
+
     def tick(self, now: float) -> None:
         """Does what is due by the clock."""
         for replica in self.replicas.values():
@@ -81,6 +88,7 @@
             self._bootstrap_protocol.schedule_query(now)
             self._query(now)
         self._leader_balancer.tick(now)
+        self.opening.advance(now)
 
     def receive(self, now: float, envelope: Envelope) -> None:
         """Passes the messages of an envelope on, unless it is from another cluster or for another replica id."""
@@ -98,8 +106,10 @@
             elif replica := self.replicas.get(group):
                 if not own.cluster_id and isinstance(message, AppendEntries | Heartbeat | InstallSnapshot):
                     # A leader has added this replica: it belongs to the leader's cluster from here on.
-                    own = self.bootstrap.identity = Identity(self.id, envelope.cluster_id)
+                    own = self.bootstrap.identity = replace(own, cluster_id=envelope.cluster_id)
                 replica.receive(now, envelope.sender, message)
+                if isinstance(message, AppendEntriesResponse):
+                    self.opening.advance(now)
 
     def peer_disconnected(self, now: float, address: Address) -> None:
         """The connection from a process has ended: if it led, it has probably failed, and pre-vote shows whether."""
--- a/ochrespan/raft/replica.py
+++ b/ochrespan/raft/replica.py
@@ -8,6 +8,7 @@
 
 import random
 import sys
+from collections.abc import Callable
 from typing import Any
 
 from ochrespan.common.addresses import Address
@@ -61,6 +62,7 @@
         self._reads = ConfirmedReads(self.state, self.replication)
         self._leadership_transfer = LeadershipTransfer(self.state, self.replication)
         self._lease_start = float("-inf")
+        self.may_accept_commands: Callable[[], bool] | None = None  # a further condition for proposals
         self.state.set_startup_deadline()
 
     # Queries
@@ -85,7 +87,8 @@
     def accepts_proposals(self) -> bool:
         """Whether `propose` takes a command now."""
         is_available = self.state.role is Role.LEADER and not self.is_transferring_leadership
-        return is_available and not self._awaits_members
+        is_opened = self.may_accept_commands is None or self.may_accept_commands()
+        return is_available and is_opened and not self._awaits_members
 
     @property
     def _awaits_members(self) -> bool:
--- a/tests/programs/test_fleetctl.py
+++ b/tests/programs/test_fleetctl.py
@@ -245,6 +245,18 @@
             read_backup(file)
 
 
+def test_a_new_fleet_proceeds_without_missing_initial_members_on_an_operators_word(run, world):
+    for controller in world.controllers:
+        controller.groups.missing = [("10.0.0.3", 7500)]
+    assert "no commands before these initial members are there: 10.0.0.3:7500" in run("status")[1]
+    assert run("bootstrap", "proceed") == (0, "proceeds without: 10.0.0.3:7500")
+    assert not any(controller.groups.missing for controller in world.controllers)
+    assert "no commands before" not in run("status")[1]
+    assert run("bootstrap", "proceed") == (0, "proceeds without: nobody is missing")
+    for body in ({}, {"proceed_without_missing": False}, {"proceed_without_missing": "yes"}, b"{cut"):
+        assert world.controllers[0].call("PUT", "/api/bootstrap", body)[0] == 400
+
+
 def test_settings_are_validated_with_all_findings_at_once(tmp_path, capsys):
     file = tmp_path / "node.yaml"
     file.write_text("node: core-1\nip: 10.0.0.1\nzone: a\nport_range: [9, 3]\nseeds: [nowhere]\nlisten: {}\n")
--- a/tests/support/control_plane_fakes.py
+++ b/tests/support/control_plane_fakes.py
@@ -38,6 +38,7 @@
         self.declined_for_s = 0.0
         self.cluster_number = 0
         self.tolerated: int | None = 1
+        self.missing: list[Address] = []
         self.lose_commands = 0
         self.call_server = RpcServer(("127.0.0.1", 0))
         self.call_server.start()
@@ -46,6 +47,12 @@
     def cluster(self) -> int:
         return self.cluster_number
 
+    def missing_initial_members(self) -> list[Address]:
+        return self.missing
+
+    def proceed_without_missing(self) -> None:
+        self.missing = []
+
     def failures_tolerated(self, shard: int) -> int | None:
         return self.tolerated if self.is_leader(shard) else None
 
