Many faults in a configuration get 400 with their number, and no body holds up a controller

Cause: whether a route had passed its field checks was told by the length of the list of findings, which is bounded at 100; behind the bound a wrong route was taken to have passed, and the sum of its weights raised (500). Deeply nested values could raise, and a body of megabytes was checked in the loop that sends heartbeats.

Change: Findings counts what it does not keep; the answer holds the first 100 and findings_total. Documents nest at most 64 deep. Bodies from 64 KiB are read and checked in a thread.

--- a/ochrespan/common/validation.py
+++ b/ochrespan/common/validation.py
@@ -42,19 +42,43 @@
         return f"{self.where}: found {self.found}, allowed {self.allowed}"
 
 
-Findings = list[Finding]
-"""Collects the findings of several checks; `add_finding` bounds its length."""
+class Findings(list[Finding]):
+    """Collects the findings of several checks. Only the first MAX_FINDINGS are kept.
+
+    Attributes:
+        total: How many were added; checks that depend on earlier ones compare it, as the length is bounded.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.total = 0
+
+    @property
+    def is_full(self) -> bool:
+        """Whether further findings are only counted: their texts need not be made."""
+        return len(self) >= MAX_FINDINGS
+
+    def error(self) -> ValidationError:
+        """The error that reports the findings, and how many there were."""
+        return ValidationError(self, self.total)
+
 
 Check = Callable[[Any, str, Findings], None]
 """`check(value, where, findings)` appends the faults of `value`, which stands at `where` in its document."""
 
 
 class ValidationError(ValueError):
-    """A document, or a settings file, with at least one finding. `findings` holds all of them."""
+    """A document, or a settings file, with at least one finding.
+
+    Attributes:
+        findings: The findings, or the first of them.
+        total: How many there were.
+    """
 
-    def __init__(self, findings: Sequence[Finding]) -> None:
+    def __init__(self, findings: Sequence[Finding], total: int = 0) -> None:
         super().__init__("; ".join(str(finding) for finding in findings))
         self.findings = tuple(findings)
+        self.total = max(total, len(self.findings))
 
 
 def show(value: Any) -> str:
@@ -69,7 +93,8 @@
 
 def add_finding(findings: Findings, where: str, found: Any, allowed: str) -> None:
     """Adds a finding, unless there are MAX_FINDINGS already. `found` is a text, or the value that was found."""
-    if len(findings) < MAX_FINDINGS:
+    findings.total += 1
+    if not findings.is_full:
         findings.append(Finding(where, found if isinstance(found, str) else show(found), allowed))
 
 
--- a/ochrespan/control_plane/api/handlers.py
+++ b/ochrespan/control_plane/api/handlers.py
@@ -10,13 +10,20 @@
 import time
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
-from typing import Any
+from typing import Any, TypeVar
 
+import gevent
 from gevent.pywsgi import WSGIServer
 
 from ochrespan.common.addresses import Address
 from ochrespan.common.validation import Check, Finding, ValidationError
-from ochrespan.control_plane.config.commands import ConfigCommandKind, make_command, make_restore_command
+from ochrespan.control_plane.config.commands import (
+    ConfigCommand,
+    ConfigCommandKind,
+    RestoreCommand,
+    make_command,
+    make_restore_command,
+)
 from ochrespan.control_plane.config.documents import (
     CHECK_BACKUP,
     CHECK_BOOTSTRAP,
@@ -50,6 +57,7 @@
 
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
+MIN_BACKGROUND_BYTES = 64 * 1024  # of a body; below that checking it takes a few milliseconds
 CLUSTER_HEADER = "X-Fleet-Cluster"  # of a configuration command: the cluster it is meant for, as in /api/status
 CLUSTER_VARIABLE = "HTTP_X_FLEET_CLUSTER"  # that header in a WSGI environment (PEP 3333)
 INSTANCES_PATH = "/api/instances/"
@@ -57,6 +65,7 @@
 
 Environment = dict[str, Any]
 Handler = Callable[[Environment], Response]
+Command = TypeVar("Command", ConfigCommand, RestoreCommand)
 
 
 class ControlApi:
@@ -121,7 +130,7 @@
         try:
             return handler(environment)
         except ValidationError as error:
-            return findings_response(BAD_REQUEST, error.findings)
+            return findings_response(BAD_REQUEST, error.findings, error.total)
         except BodyTooLargeError as error:
             allowed = f"at most {error.max_bytes} bytes"
             return findings_response(CONTENT_TOO_LARGE, [Finding("body", "a longer body", allowed)])
@@ -140,8 +149,8 @@
         if finding := self._find_other_cluster(environment):
             return findings_response(PRECONDITION_FAILED, [finding])
         version = _read_version(environment)
-        document = read_json(_read_body(environment), check)
-        return self._service.submit(make_command(kind, version, document, _now_ms()))
+        body = _read_body(environment)
+        return self._service.submit(_in_background(body, lambda: _read_command(kind, version, body, check)))
 
     def _find_other_cluster(self, environment: Environment) -> Finding | None:
         """The finding of a command that is meant for another cluster than this controller's."""
@@ -158,8 +167,8 @@
         """Restores a backup into a cluster that has no configuration yet; any other one responds with 412."""
         if finding := self._find_other_cluster(environment):
             return findings_response(PRECONDITION_FAILED, [finding])
-        document = read_json(_read_body(environment), CHECK_BACKUP)
-        return self._service.submit(make_restore_command(document, _now_ms()))
+        body = _read_body(environment)
+        return self._service.submit(_in_background(body, lambda: _read_restore_command(body)))
 
     def _get_history(self, _environment: Environment) -> Response:
         return self._service.read_history()
@@ -200,6 +209,31 @@
     return server
 
 
+def _in_background(body: bytes, read: Callable[[], Command]) -> Command:
+    """Reads a command, in a thread of its own where the body is large, so that heartbeats need not wait for it."""
+    if len(body) < MIN_BACKGROUND_BYTES:
+        return read()
+
+    def read_safely() -> Command | ValidationError:  # gevent prints what is raised in a thread
+        try:
+            return read()
+        except ValidationError as error:
+            return error
+
+    result: Command | ValidationError = gevent.get_hub().threadpool.apply(read_safely)
+    if isinstance(result, ValidationError):
+        raise result
+    return result
+
+
+def _read_command(kind: ConfigCommandKind, version: int, body: bytes, check: Check) -> ConfigCommand:
+    return make_command(kind, version, read_json(body, check), _now_ms())
+
+
+def _read_restore_command(body: bytes) -> RestoreCommand:
+    return make_restore_command(read_json(body, CHECK_BACKUP), _now_ms())
+
+
 def _now_ms() -> int:
     return time.time_ns() // 1_000_000
 
--- a/ochrespan/control_plane/config/configuration.py
+++ b/ochrespan/control_plane/config/configuration.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from ochrespan.common.validation import Findings, ValidationError, add_finding, show
+from ochrespan.common.validation import Findings, add_finding, show
 
 SECTIONS = ("routes", "services", "tenants")  # field names of the documents and of the classes below
 Items = dict[str, dict[str, Any]]  # an item's document by its name
@@ -95,7 +95,7 @@
         Raises:
             ValidationError: It would be invalid; the findings name every reason.
         """
-        findings: Findings = []
+        findings = Findings()
         if change.version <= self.version:
             add_finding(findings, "generation", show(change.version), f"a version above {self.version}")
         services = change.services.applied_to(self.services)
@@ -104,7 +104,7 @@
         route_names_by_location = _merge_locations(self, change, findings)
         tenant_names_by_key = _merge_keys(self, change, findings)
         if findings:
-            raise ValidationError(findings)
+            raise findings.error()
         tenants = change.tenants.applied_to(self.tenants)
         others = self.others if change.others is None else change.others
         return Configuration(
--- a/ochrespan/control_plane/config/documents.py
+++ b/ochrespan/control_plane/config/documents.py
@@ -8,6 +8,7 @@
 
 import json
 import re
+from collections.abc import Iterable
 from typing import Annotated, Any, NotRequired, TypedDict
 
 from ochrespan.common.addresses import parse_address
@@ -30,6 +31,7 @@
 
 from .commands import DIGEST_BYTES
 
+MAX_NESTING = 64  # of a document: every replica has to compare and pack it, whatever its own stack holds
 MAX_ID_CHARACTERS = 200
 _COUNT = integer()
 _MILLISECONDS = number()
@@ -129,9 +131,9 @@
         where: The position of the value in the document, for findings.
         findings: Receives what is wrong.
     """
-    before = len(findings)
+    before = findings.total
     _check_route_fields(value, where, findings)
-    if len(findings) > before:
+    if findings.total > before:
         return
     split = value.get("traffic_split")
     if not split and value.get("backend") is None:
@@ -147,9 +149,9 @@
     check_items = list_of(item)
 
     def check(value: Any, where: str, findings: Findings) -> None:
-        before = len(findings)
+        before = findings.total
         check_items(value, where, findings)
-        if len(findings) > before:
+        if findings.total > before:
             return
         positions: dict[str, int] = {}
         for position, entry in enumerate(value):
@@ -274,6 +276,24 @@
     raise ValueError(f"{constant} is no JSON number")
 
 
+def _is_nested_too_deeply(document: Any) -> bool:
+    """Whether lists and maps are nested deeper than MAX_NESTING; without recursion, whose limit varies by caller."""
+    containers = [document]
+    for _ in range(MAX_NESTING):
+        containers = [
+            value for container in containers for value in _values_of(container) if isinstance(value, dict | list)
+        ]
+        if not containers:
+            return False
+    return True
+
+
+def _values_of(container: Any) -> Iterable[Any]:
+    if isinstance(container, dict):
+        return container.values()
+    return container if isinstance(container, list) else ()
+
+
 def read_json(body: bytes, check: Check) -> dict[str, Any]:
     """Parses and checks the JSON document in a request body.
 
@@ -288,8 +308,11 @@
         document: dict[str, Any] = json.loads(body, parse_constant=_reject_constant)
     except (ValueError, RecursionError) as error:
         raise ValidationError([Finding("body", str(error) or "too deep a nesting", "a whole JSON document")]) from error
-    findings: Findings = []
+    findings = Findings()
+    if _is_nested_too_deeply(document):
+        add_finding(findings, "", "a deeper nesting", f"values nested at most {MAX_NESTING} deep")
+        raise findings.error()
     check(document, "", findings)
     if findings:
-        raise ValidationError(findings)
+        raise findings.error()
     return document
--- a/ochrespan/control_plane/config/owner.py
+++ b/ochrespan/control_plane/config/owner.py
@@ -112,4 +112,4 @@
         return unavailable_response(COMMAND_FINDING, result.outcome.value)
     if result.outcome is CommandOutcome.VERSION_CONFLICT:
         return findings_response(PRECONDITION_FAILED, [Finding("If-Match", "another version", str(result.version))])
-    return findings_response(BAD_REQUEST, result.findings)
+    return findings_response(BAD_REQUEST, result.findings, result.findings_total)
--- a/ochrespan/control_plane/config/state_machine.py
+++ b/ochrespan/control_plane/config/state_machine.py
@@ -40,13 +40,15 @@
     Attributes:
         outcome: What became of the command.
         version: The version that the command made if it was accepted, now or before; the current one otherwise.
-        findings: Why the command is invalid.
+        findings: Why the command is invalid; the first of its faults.
+        findings_total: How many faults it has.
         change: What the command changed, if it was accepted now.
     """
 
     outcome: CommandOutcome
     version: int
     findings: tuple[Finding, ...] = ()
+    findings_total: int = 0
     change: ConfigurationChange | None = None
 
 
@@ -113,7 +115,7 @@
         try:
             self.current = self.current.changed_by(change)
         except ValidationError as error:
-            return self._invalid(*error.findings)
+            return self._invalid(*error.findings, total=error.total)
         self._remember(command.digest, change.version)
         self.history.add(make_change_record(change, command.builds_on, command.kind, command.received_ms))
         return CommandResult(CommandOutcome.ACCEPTED, change.version, change=change)
@@ -129,7 +131,7 @@
         try:
             self.current = self.current.changed_by(change)
         except ValidationError as error:
-            return self._invalid(*error.findings)
+            return self._invalid(*error.findings, total=error.total)
         self._last_evicted_version = backup["last_evicted_version"]
         for accepted in backup["accepted_commands"]:
             self._remember(bytes.fromhex(accepted["digest"]), accepted["version"])
@@ -137,8 +139,8 @@
         self.history.add(make_change_record(change, 0, RESTORE_KIND, command.received_ms))
         return CommandResult(CommandOutcome.ACCEPTED, change.version, change=change)
 
-    def _invalid(self, *findings: Finding) -> CommandResult:
-        return CommandResult(CommandOutcome.INVALID, self.current.version, findings)
+    def _invalid(self, *findings: Finding, total: int = 1) -> CommandResult:
+        return CommandResult(CommandOutcome.INVALID, self.current.version, findings, total)
 
     def _remember(self, digest: bytes, version: int) -> None:
         self._accepted_versions[digest] = version
--- a/ochrespan/control_plane/responses.py
+++ b/ochrespan/control_plane/responses.py
@@ -50,9 +50,12 @@
     return Response(status, compact.compress(json.dumps(document, ensure_ascii=False).encode()))
 
 
-def findings_response(status: int, findings: Iterable[Finding]) -> Response:
-    """Returns a response whose body lists the findings."""
-    return json_response(status, {"findings": [finding.fields() for finding in findings]})
+def findings_response(status: int, findings: Iterable[Finding], total: int = 0) -> Response:
+    """Returns a response whose body lists the findings, and tells their number where there were more."""
+    document: dict[str, Any] = {"findings": [finding.fields() for finding in findings]}
+    if total > len(document["findings"]):
+        document["findings_total"] = total
+    return json_response(status, document)
 
 
 def unavailable_response(where: str, found: str) -> Response:
--- a/ochrespan/data_plane/readiness.py
+++ b/ochrespan/data_plane/readiness.py
@@ -72,10 +72,10 @@
         document = json.loads(body) if len(body) <= MAX_BODY_BYTES else None
     except ValueError as error:
         raise ValidationError([Finding("body", str(error), "a whole JSON document")]) from error
-    findings: Findings = []
+    findings = Findings()
     flag(document.get("drained") if isinstance(document, dict) else None, "drained", findings)
     if findings:
-        raise ValidationError(findings)
+        raise findings.error()
     return Readiness(drained=document["drained"])
 
 
--- a/ochrespan/programs/fleetctl_commands/backup_file.py
+++ b/ochrespan/programs/fleetctl_commands/backup_file.py
@@ -88,7 +88,7 @@
     document = _read_document(path)
     body: dict[str, Any] = {name: document.get(name) for name in ("taken_at", "configuration", "instances")}
     _check_checksum(f"{path}: checksum", document, body)
-    findings: Findings = []
+    findings = Findings()
     CHECK_CONFIGURATION(body["configuration"], "configuration", findings)
     _raise_findings(path, findings)
     commands = None
--- a/ochrespan/programs/fleetctl_commands/control_client.py
+++ b/ochrespan/programs/fleetctl_commands/control_client.py
@@ -96,7 +96,10 @@
 
 def _findings(document: Any) -> tuple[str, ...]:
     listed = document.get("findings", ()) if isinstance(document, dict) else ()
-    return tuple(f"{each['where']}: found {each['found']}, allowed {each['allowed']}" for each in listed)
+    texts = [f"{each['where']}: found {each['found']}, allowed {each['allowed']}" for each in listed]
+    if isinstance(document, dict) and (total := document.get("findings_total")):
+        texts.append(f"{total} findings in all")
+    return tuple(texts)
 
 
 def is_outcome_unknown(failure: CallFailure) -> bool:
--- a/ochrespan/programs/settings.py
+++ b/ochrespan/programs/settings.py
@@ -195,7 +195,7 @@
         document: Settings = yaml.load(source, Loader=getattr(yaml, "CSafeLoader", yaml.SafeLoader))
     except yaml.YAMLError as error:
         raise ValidationError([Finding(name, " ".join(str(error).split()), "a YAML document")]) from error
-    findings: Findings = []
+    findings = Findings()
     _check_settings(document, "", findings)
     if findings:
         raise ValidationError([Finding(f"{name}: {each.where}", each.found, each.allowed) for each in findings])
