Control packages: the last names and docstrings that readers found

Change: docstrings; cold_until is slow_start_ends_at, PUBLISH_PAUSE_FACTOR is PUBLISH_INTERVAL_FACTOR, STARTUP_SETTLE_S is STARTUP_WAIT_S, record_of is record_from_document, PrefixPlacements.of is instance_of, PrefixPlacementOwner.place is assign. Nothing on the wire, on disks or in documents changes.

--- a/ochrespan/common/validation.py
+++ b/ochrespan/common/validation.py
@@ -103,6 +103,7 @@
     allowed = f"a string of {minimum} to {maximum} characters"
 
     def check(value: Any, where: str, findings: Findings) -> None:
+        """Adds a finding unless the value is such a string."""
         if not isinstance(value, str) or not minimum <= len(value) <= maximum:
             add_finding(findings, where, show(value), allowed)
 
@@ -114,6 +115,7 @@
     allowed = "one of " + ", ".join(choices)
 
     def check(value: Any, where: str, findings: Findings) -> None:
+        """Adds a finding unless the value is one of the choices."""
         if not isinstance(value, str) or value not in choices:
             add_finding(findings, where, show(value), allowed)
 
@@ -125,6 +127,7 @@
     allowed = f"a whole number of {minimum} to {maximum}"
 
     def check(value: Any, where: str, findings: Findings) -> None:
+        """Adds a finding unless the value is such an integer."""
         if type(value) is not int or not minimum <= value <= maximum:
             add_finding(findings, where, show(value), allowed)
 
@@ -138,6 +141,7 @@
         allowed += f" and at most {maximum:g}"
 
     def check(value: Any, where: str, findings: Findings) -> None:
+        """Adds a finding unless the value is such a number."""
         finite = type(value) is int or (type(value) is float and math.isfinite(value))
         if not finite or not minimum <= value <= maximum or (above and value == minimum):
             add_finding(findings, where, show(value), allowed)
@@ -155,6 +159,7 @@
     """Checks for what `check` allows, or null."""
 
     def check_unless_null(value: Any, where: str, findings: Findings) -> None:
+        """Adds the findings of a value that is not null."""
         if value is not None:
             check(value, where, findings)
 
@@ -165,6 +170,7 @@
     """Checks for a list of at least `minimum` items, all of which pass `item`."""
 
     def check(value: Any, where: str, findings: Findings) -> None:
+        """Adds the findings of the list and of each item."""
         if not isinstance(value, list) or len(value) < minimum:
             add_finding(findings, where, show(value), "a list" if not minimum else f"a list of at least {minimum}")
             return
@@ -178,6 +184,7 @@
     """Checks for a JSON object whose values pass `item`."""
 
     def check(value: Any, where: str, findings: Findings) -> None:
+        """Adds the findings of the object and of each of its values."""
         if not isinstance(value, dict):
             add_finding(findings, where, show(value), "a map")
             return
@@ -200,6 +207,7 @@
             checks[name] = get_args(hint)[1]
 
     def check(value: Any, where: str, findings: Findings) -> None:
+        """Adds the findings of the object, of its missing fields and of those it has."""
         if not isinstance(value, dict):
             add_finding(findings, where, show(value), "a map")
             return
--- a/ochrespan/control_plane/api/handlers.py
+++ b/ochrespan/control_plane/api/handlers.py
@@ -34,7 +34,7 @@
     MAX_ID_CHARACTERS,
     read_json,
 )
-from ochrespan.control_plane.registry.records import record_of
+from ochrespan.control_plane.registry.records import record_from_document
 from ochrespan.control_plane.responses import (
     BAD_REQUEST,
     CONTENT_TOO_LARGE,
@@ -186,7 +186,7 @@
     def _put_instance(self, environment: Environment) -> Response:
         instance_id = _read_instance_id(environment)
         document = read_json(_read_body(environment), CHECK_INSTANCE)
-        return self._service.report_instance(record_of(instance_id, document))
+        return self._service.report_instance(record_from_document(instance_id, document))
 
     def _delete_instance(self, environment: Environment) -> Response:
         return self._service.remove_instance(_read_instance_id(environment))
--- a/ochrespan/control_plane/feed/live_routers.py
+++ b/ochrespan/control_plane/feed/live_routers.py
@@ -10,7 +10,7 @@
 
 from .messages import Presence
 
-STARTUP_SETTLE_S = 2.0  # a controller that has just started does not know most routers yet
+STARTUP_WAIT_S = 2.0  # a controller that has just started does not know most routers yet
 REPORT_TTL_S = 3.5  # longer than a router takes to move between controllers, so that it stays counted
 
 
@@ -33,7 +33,7 @@
     """The routers that membership finds alive, that subscribe to this controller's feed, or to another one's."""
 
     def __init__(self, started_at: float) -> None:
-        self._settled_at = started_at + STARTUP_SETTLE_S
+        self._complete_from = started_at + STARTUP_WAIT_S
         self._subscribed_at: dict[str, float] = {}  # by router, when it last was among this controller's subscribers
         self._reports: dict[Address, _Report] = {}  # by controller
         self._members: frozenset[str] = frozenset()
@@ -76,7 +76,7 @@
 
     def position_of(self, router: str, now: float) -> RouterPosition:
         """The position of a router; one that is not counted yet counts itself."""
-        if now < self._settled_at:
+        if now < self._complete_from:
             return RouterPosition(0, 0)
         rank = bisect.bisect_left(self._sorted, router)
         is_counted = rank < len(self._sorted) and self._sorted[rank] == router
--- a/ochrespan/control_plane/feed/shard_snapshots.py
+++ b/ochrespan/control_plane/feed/shard_snapshots.py
@@ -50,7 +50,7 @@
 
     def record_change(self, change: InstancesChange) -> None:
         """Takes over the slow-start times of a change that was applied."""
-        self._slow_start.note(change, monotonic())
+        self._slow_start.record(change, monotonic())
 
     def encoded(self, shard: int) -> bytes:
         """The encoded `FeedSnapshot` of a shard at the offset that is applied now."""
--- a/ochrespan/control_plane/feed/table.py
+++ b/ochrespan/control_plane/feed/table.py
@@ -124,6 +124,7 @@
     copies: dict[str, dict[str, Instance]] = {}  # by service, of those that the change may affect
 
     def copy_of(service: str) -> dict[str, Instance]:
+        """The service's instances, copied before their first change."""
         if service not in copies:
             copies[service] = dict(table.instances.get(service, {}))
         return copies[service]
@@ -209,6 +210,6 @@
     A message may repeat the remaining slow start as it was when the instance registered, and so end it too late.
     """
     known = table.instances.get(instance.service, {}).get(instance.id)
-    if known is not None and known.cold_until < instance.cold_until:
-        return replace(instance, cold_until=known.cold_until)
+    if known is not None and known.slow_start_ends_at < instance.slow_start_ends_at:
+        return replace(instance, slow_start_ends_at=known.slow_start_ends_at)
     return instance
--- a/ochrespan/control_plane/feed/table_publisher.py
+++ b/ochrespan/control_plane/feed/table_publisher.py
@@ -15,8 +15,10 @@
 
 
 INCOMPLETE_TABLE_WAIT_S = 3.0  # a first table from controllers without a quorum is published after this long
-PUBLISH_PAUSE_FACTOR = 20.0  # the pause after a table, as a multiple of the time that the data plane took for it
-MAX_PUBLISH_PAUSE_S = 0.2
+PUBLISH_INTERVAL_FACTOR = (
+    20.0  # the time until the next table, as a multiple of the time that the data plane took for it
+)
+MAX_PUBLISH_INTERVAL_S = 0.2
 
 OnChange = Callable[[FleetTable, FleetChange], None]
 
@@ -64,11 +66,11 @@
         """Publishes the changes since the last table, now or when the pause after it ends."""
         if self.table is None or self.table is self._draft.table:
             return
-        pause_s = self.paused_until - monotonic()
-        if pause_s <= 0:
+        delay_s = self.paused_until - monotonic()
+        if delay_s <= 0:
             self._publish(self._draft.unpublished)
         elif not self._delayed:
-            self._delayed = gevent.spawn_later(pause_s, self.publish_delayed)
+            self._delayed = gevent.spawn_later(delay_s, self.publish_delayed)
 
     def publish_delayed(self) -> None:
         """Publishes what has changed during a pause."""
@@ -87,4 +89,4 @@
             log.exception("table update failed version=%d", self._draft.table.version)
             self._draft.unpublished = change  # goes out again with the next change
         now = monotonic()
-        self.paused_until = now + min(MAX_PUBLISH_PAUSE_S, PUBLISH_PAUSE_FACTOR * (now - started_at))
+        self.paused_until = now + min(MAX_PUBLISH_INTERVAL_S, PUBLISH_INTERVAL_FACTOR * (now - started_at))
--- a/ochrespan/control_plane/prefix_placement/owner.py
+++ b/ochrespan/control_plane/prefix_placement/owner.py
@@ -54,7 +54,7 @@
 
     def register(self, rpc_server: RpcServer) -> None:
         """Serves the requests of routers."""
-        rpc_server.on_request(PrefixPlacementRequest, self.place)
+        rpc_server.on_request(PrefixPlacementRequest, self.assign)
 
     def leadership_changed(self, shard: int, is_leader: bool) -> None:  # noqa: ARG002 - all owners have the same hook
         """To be called when this process begins or ceases to lead a shard: both drop what is not replicated."""
@@ -62,7 +62,7 @@
             del self._unreplicated[service]
             self._batches.pop(service, None)
 
-    def place(self, request: PrefixPlacementRequest) -> PrefixPlacement | NotOwnerResponse:
+    def assign(self, request: PrefixPlacementRequest) -> PrefixPlacement | NotOwnerResponse:
         """The placement of a prefix: the one that is known, or the ready instance with the fewest tokens placed."""
         service = request.service
         shard = shard_of(service)
@@ -71,7 +71,9 @@
             return NotOwnerResponse(*leader) if leader is not None else NotOwnerResponse()
         machine = self._instances[shard]
         unreplicated = self._unreplicated.setdefault(service, PrefixPlacements())
-        known = unreplicated.of(service, request.prefix) or machine.placements.of(service, request.prefix)
+        known = unreplicated.instance_of(service, request.prefix) or machine.placements.instance_of(
+            service, request.prefix
+        )
         ready = [
             record.id
             for record in machine.records.values()
--- a/ochrespan/control_plane/quota/allocation.py
+++ b/ochrespan/control_plane/quota/allocation.py
@@ -49,6 +49,7 @@
     """The quota bounds in the `bounds` of the settings; the strictest default for what is missing or no number."""
 
     def number(name: str, default: float) -> float:
+        """The bound of that name where it is a number."""
         value = bounds.get(name, default)
         return float(value) if type(value) in (int, float) else default
 
--- a/ochrespan/control_plane/quota/client.py
+++ b/ochrespan/control_plane/quota/client.py
@@ -215,8 +215,8 @@
         if state.granted.take(tokens, now):
             return self._reservation(tenant, tokens, now)
         # The bucket of a newer owner began empty within this window: rejections would fall on a tenant within its rate.
-        is_owner_settled = grant is not None and grant.owner_age_s >= self._bounds.window_s
-        if not is_owner_settled and state.reserved.take(tokens, now):
+        has_owner_granted_for_a_window = grant is not None and grant.owner_age_s >= self._bounds.window_s
+        if not has_owner_granted_for_a_window and state.reserved.take(tokens, now):
             return TokenReservation(True, 0.0, tokens, None, now)
         return TokenReservation(False, NO_OWNER_RETRY_S if grant is None else grant.retry_after_s)
 
--- a/ochrespan/control_plane/registry/prefix_placements.py
+++ b/ochrespan/control_plane/registry/prefix_placements.py
@@ -32,7 +32,7 @@
         for service, entries in (services or {}).items():
             self.assign(AssignPrefixes(service, [tuple(entry) for entry in entries]))
 
-    def of(self, service: str, prefix: str) -> str:
+    def instance_of(self, service: str, prefix: str) -> str:
         """Returns the instance that caches a prefix, empty if none is known to."""
         return self._services.get(service, {}).get(prefix, ("", 0.0))[0]
 
--- a/ochrespan/control_plane/registry/records.py
+++ b/ochrespan/control_plane/registry/records.py
@@ -59,7 +59,7 @@
         )
 
 
-def record_of(instance_id: str, document: Mapping[str, Any]) -> InstanceRecord:
+def record_from_document(instance_id: str, document: Mapping[str, Any]) -> InstanceRecord:
     """Returns the record of a checked `InstanceDocument`."""
     return InstanceRecord(
         id=instance_id,
--- a/ochrespan/control_plane/registry/slow_start.py
+++ b/ochrespan/control_plane/registry/slow_start.py
@@ -19,7 +19,7 @@
     def __init__(self) -> None:
         self._slow_start_ends_at: dict[str, float] = {}
 
-    def note(self, change: InstancesChange, now: float) -> None:
+    def record(self, change: InstancesChange, now: float) -> None:
         """Updates the times from an applied change.
 
         An instance has one slow start, at its start: the first record decides, later ones don't prolong it.
--- a/ochrespan/control_plane/registry/views.py
+++ b/ochrespan/control_plane/registry/views.py
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Instance:
-    """One incarnation of a server; `cold_until` is the end of its slow start by the monotonic clock here."""
+    """One incarnation of a server; `slow_start_ends_at` is the end of its slow start by the monotonic clock here."""
 
     id: str
     service: str
@@ -20,7 +20,7 @@
     generation: str
     capacity: int
     state: InstanceState
-    cold_until: float
+    slow_start_ends_at: float
     phase: str
     models: tuple[Mapping[str, Any], ...]
 
@@ -35,7 +35,7 @@
         generation=record.generation,
         capacity=record.capacity,
         state=InstanceState(record.state),
-        cold_until=now + record.cold_remaining_ms / 1000,
+        slow_start_ends_at=now + record.cold_remaining_ms / 1000,
         phase=record.phase,
         models=record.models,
     )
--- a/ochrespan/control_plane/replication/host.py
+++ b/ochrespan/control_plane/replication/host.py
@@ -55,6 +55,7 @@
 
     @on_applied.setter
     def on_applied(self, callback: Callable[[int, int, bytes, Any], None]) -> None:
+        """Sets the callback in place of the one before."""
         self._applier.on_applied = callback
 
     @property
@@ -64,6 +65,7 @@
 
     @on_restored.setter
     def on_restored(self, callback: Callable[[int], None]) -> None:
+        """Sets the callback in place of the one before."""
         self._applier.on_restored = callback
 
     @property
@@ -73,6 +75,7 @@
 
     @on_leadership.setter
     def on_leadership(self, callback: Callable[[int, bool], None]) -> None:
+        """Sets the callback in place of the one before."""
         self._reporter.on_leadership = callback
 
     # Start and end
--- a/ochrespan/data_plane/decisions.py
+++ b/ochrespan/data_plane/decisions.py
@@ -48,7 +48,7 @@
     capacity: int  # requests worked on at the same time
     kv_tokens: int = 0  # memory for tokens, 0 where it is not known
     draining: bool = False
-    cold_until: float = 0.0
+    slow_start_ends_at: float = 0.0
     max_connections: int = 0  # over all routers, 0 where it is not known
 
 
--- a/ochrespan/data_plane/router_node.py
+++ b/ochrespan/data_plane/router_node.py
@@ -171,7 +171,7 @@
             capacity=instance.capacity or runtime.get("capacity") or 1,
             kv_tokens=runtime.get("kv_tokens") or 0,
             draining=instance.state == DRAINING,
-            cold_until=instance.cold_until,
+            slow_start_ends_at=instance.slow_start_ends_at,
             max_connections=(service.max_connections if service is not None else 0) or 0,
         )
         for instance in table.instances_of(name).values()
--- a/ochrespan/data_plane/server_state.py
+++ b/ochrespan/data_plane/server_state.py
@@ -94,7 +94,7 @@
         return self.connections > len(self.out) and now - self.used_at < RESTING
 
     def slowness(self, now: float) -> float:
-        return COLD_COST if now < self.server.cold_until else 1.0
+        return COLD_COST if now < self.server.slow_start_ends_at else 1.0
 
     def keeps(self, key: str, now: float) -> bool:
         """Whether a shared prefix was sent here recently enough to be in memory still."""
--- a/ochrespan/programs/fleetctl.py
+++ b/ochrespan/programs/fleetctl.py
@@ -148,14 +148,14 @@
 
     Only for initial members that will never come, and that have been in no other fleet.
 
-    :param controllers: control addresses, each of which is told
+    :param controllers: control addresses, each of which is called
     """
     document = {"proceed_without_missing": True}
     results = [client.put("/api/bootstrap", document) for client in clients_for_each(controllers)]
-    told = [result.unwrap() for result in results if isinstance(result, Success)]
-    if not told:
+    accepted = [result.unwrap() for result in results if isinstance(result, Success)]
+    if not accepted:
         unwrap_document(results[-1])  # raises
-    missing = {address for response in told for address in response["missing_initial_members"]}
+    missing = {address for response in accepted for address in response["missing_initial_members"]}
     report = [f"proceeds without: {', '.join(sorted(missing)) or 'nobody is missing'}"]
     failures = [str(result.failure()) for result in results if not isinstance(result, Success)]
     return "\n".join([*report, *failures])
--- a/ochrespan/raft/multi_raft.py
+++ b/ochrespan/raft/multi_raft.py
@@ -126,6 +126,7 @@
         identity = self.bootstrap.identity
 
         def envelope(address: Address, to: int) -> Envelope:
+            """The envelope for a receiver, made with its first message."""
             key = (address, to)
             if key not in envelopes:
                 envelopes[key] = Envelope(identity.cluster_id, identity.replica_id, self.settings.address, to)
--- a/ochrespan/transport/codec.py
+++ b/ochrespan/transport/codec.py
@@ -34,6 +34,7 @@
     """
 
     def register(message_type: MessageType) -> MessageType:
+        """Adds the class under the tag, which no other class may have."""
         if tag in _types_by_tag:
             raise ValueError(f"tag {tag!r} stands for {_types_by_tag[tag].__name__} already")
         _types_by_tag[tag] = message_type
--- a/tests/control_plane/feed/test_feed_parts.py
+++ b/tests/control_plane/feed/test_feed_parts.py
@@ -6,23 +6,23 @@
 from ochrespan.control_plane.feed.table import FleetTable, with_instances_change
 from ochrespan.control_plane.registry.change_batch import ChangeBatch
 from ochrespan.control_plane.registry.changes import InstancesChange
-from ochrespan.control_plane.registry.records import record_of
+from ochrespan.control_plane.registry.records import record_from_document
 from ochrespan.control_plane.registry.slow_start import SlowStartTimes
 from ochrespan.control_plane.replication.lag_detector import LagDetector
 from tests.support.control_plane_world import instance
 
 
 def record(instance_id, **fields):
-    return record_of(instance_id, instance(1, **fields))
+    return record_from_document(instance_id, instance(1, **fields))
 
 
 def test_a_later_snapshot_tells_what_is_left_of_a_cold_time():
     cold = SlowStartTimes()
     warm, fresh = record("i1"), record("i2", cold_remaining_ms=4000)
-    cold.note(InstancesChange((warm, fresh)), 10.0)
+    cold.record(InstancesChange((warm, fresh)), 10.0)
     assert cold.aged(fresh, 11.0).cold_remaining_ms == 3000
     assert cold.aged(fresh, 20.0).cold_remaining_ms == 0 and cold.aged(warm, 11.0) is warm
-    cold.note(InstancesChange(removed=("i2",)), 11.0)
+    cold.record(InstancesChange(removed=("i2",)), 11.0)
     assert cold.aged(fresh, 11.0).cold_remaining_ms == 0
 
 
@@ -43,7 +43,9 @@
     for offset, (name, state) in enumerate(steps, start=1):
         change = InstancesChange(removed=(name,))
         if state is not None:
-            change = InstancesChange((record_of(name, instance(offset, state, address=f"10.0.0.1:{offset}")),))
+            change = InstancesChange(
+                (record_from_document(name, instance(offset, state, address=f"10.0.0.1:{offset}")),)
+            )
         batch.add(offset, change)
         one_by_one, _ = with_instances_change(one_by_one, change, 0.0)
     assert batch.offset == len(steps)
@@ -55,6 +57,6 @@
     known, _ = with_instances_change(FleetTable(), InstancesChange((record("a"), record("b"))), 0.0)
     batch = ChangeBatch()
     batch.add(5, InstancesChange((record("c"),), ("a",)))
-    batch.add(6, InstancesChange((record_of("b", instance(2, "draining")),)))
+    batch.add(6, InstancesChange((record_from_document("b", instance(2, "draining")),)))
     after, _ = with_instances_change(known, batch.take(), 0.0)
     assert {name: each.state for name, each in after.instances_of("judges").items()} == {"b": "draining", "c": "ready"}
--- a/tests/control_plane/feed/test_live_routers.py
+++ b/tests/control_plane/feed/test_live_routers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ochrespan.control_plane.feed.live_routers import STARTUP_SETTLE_S, LiveRouters, RouterPosition
+from ochrespan.control_plane.feed.live_routers import STARTUP_WAIT_S, LiveRouters, RouterPosition
 from ochrespan.control_plane.feed.messages import Presence
 
 
@@ -11,27 +11,27 @@
     live_routers.update_subscribers({"b", "d"}, 1.0)
     assert live_routers.position_of("b", 1.0) == RouterPosition(0, 0)
     live_routers.record_report(Presence("10.0.0.2", 7500, "z", ["a", "b"]), 1.0)
-    live_routers.update_subscribers({"b", "d"}, STARTUP_SETTLE_S)
-    positions = [live_routers.position_of(each, STARTUP_SETTLE_S) for each in "abd"]
+    live_routers.update_subscribers({"b", "d"}, STARTUP_WAIT_S)
+    positions = [live_routers.position_of(each, STARTUP_WAIT_S) for each in "abd"]
     assert positions == [RouterPosition(3, 0), RouterPosition(3, 1), RouterPosition(3, 2)]
     assert live_routers.controllers() == [(("10.0.0.2", 7500), "z")]
-    live_routers.update_subscribers({"b", "d"}, STARTUP_SETTLE_S + 5.0)
-    assert live_routers.position_of("d", STARTUP_SETTLE_S + 5.0) == RouterPosition(2, 1)
+    live_routers.update_subscribers({"b", "d"}, STARTUP_WAIT_S + 5.0)
+    assert live_routers.position_of("d", STARTUP_WAIT_S + 5.0) == RouterPosition(2, 1)
     assert live_routers.controllers() == []
 
 
 @pytest.mark.parametrize("name", ["0", "c", "z"])
 def test_a_router_that_is_not_counted_yet_counts_itself(name):
     live_routers = LiveRouters(started_at=0.0)
-    live_routers.update_subscribers({"b", "d"}, STARTUP_SETTLE_S)
-    assert live_routers.position_of(name, STARTUP_SETTLE_S).count == 3
+    live_routers.update_subscribers({"b", "d"}, STARTUP_WAIT_S)
+    assert live_routers.position_of(name, STARTUP_WAIT_S).count == 3
 
 
 def test_routers_that_membership_finds_alive_count_before_they_subscribe():
     live_routers = LiveRouters(started_at=0.0)
     live_routers.set_members(["c", "a"])
-    live_routers.update_subscribers({"b"}, STARTUP_SETTLE_S)
+    live_routers.update_subscribers({"b"}, STARTUP_WAIT_S)
     assert live_routers.routers() == ["a", "b", "c"]
     live_routers.set_members([])
-    live_routers.update_subscribers({"b"}, STARTUP_SETTLE_S + 5.0)
+    live_routers.update_subscribers({"b"}, STARTUP_WAIT_S + 5.0)
     assert live_routers.routers() == ["b"]
--- a/tests/control_plane/feed/test_messages.py
+++ b/tests/control_plane/feed/test_messages.py
@@ -8,12 +8,12 @@
     unpack_instances_change,
 )
 from ochrespan.control_plane.registry.changes import InstancesChange
-from ochrespan.control_plane.registry.records import record_of
+from ochrespan.control_plane.registry.records import record_from_document
 from tests.support.control_plane_world import configuration, instance, route, tenant
 
 
 def test_unpacking_inverts_packing():
     change = change_to(Configuration(), configuration(5, route("r1"), tenants=[tenant("t", "k")], extra=[None, 1.5]))
     assert unpack_configuration_change(pack_configuration_change(change)) == change
-    instances = InstancesChange((record_of("i1", instance(1, models=[{"name": "m"}])),), ("i0",))
+    instances = InstancesChange((record_from_document("i1", instance(1, models=[{"name": "m"}])),), ("i0",))
     assert unpack_instances_change(pack_instances_change(instances)) == instances
--- a/tests/control_plane/feed/test_table.py
+++ b/tests/control_plane/feed/test_table.py
@@ -11,7 +11,7 @@
     with_instances_snapshot,
 )
 from ochrespan.control_plane.registry.changes import InstancesChange
-from ochrespan.control_plane.registry.records import record_of
+from ochrespan.control_plane.registry.records import record_from_document
 from tests.support.control_plane_world import configuration, instance, route, service
 
 
@@ -20,7 +20,7 @@
 
 
 def record(instance_id, **fields):
-    return record_of(instance_id, instance(1, **fields))
+    return record_from_document(instance_id, instance(1, **fields))
 
 
 def test_a_table_shares_what_a_change_does_not_affect():
@@ -59,4 +59,4 @@
     change = InstancesChange((record("i1", cold_remaining_ms=4000),))
     table, _ = with_instances_change(FleetTable(), change, 10.0)
     again, _ = with_instances_change(table, change, 12.0)
-    assert again.instances_of("judges")["i1"].cold_until == 14.0
+    assert again.instances_of("judges")["i1"].slow_start_ends_at == 14.0
--- a/tests/control_plane/prefix_placement/test_prefix_placement.py
+++ b/tests/control_plane/prefix_placement/test_prefix_placement.py
@@ -10,7 +10,7 @@
 from ochrespan.control_plane.prefix_placement.owner import PrefixPlacementOwner
 from ochrespan.control_plane.registry.commands import RegisterInstance
 from ochrespan.control_plane.registry.prefix_placements import MAX_PREFIXES, AssignPrefixes, PrefixPlacements
-from ochrespan.control_plane.registry.records import record_fields, record_of
+from ochrespan.control_plane.registry.records import record_fields, record_from_document
 from ochrespan.control_plane.registry.state_machine import InstanceStateMachine
 from ochrespan.control_plane.replication.errors import OutcomeUnknownError
 from ochrespan.control_plane.shards import shard_of
@@ -59,10 +59,10 @@
             "backend": "llm", "address": f"10.1.0.{number}:80", "state": state, "sequence": sequence, "zone": "a",
             "generation": "v1", "capacity": 8, "cold_remaining_ms": 0,
         }  # fmt: skip
-        self.machine.apply(0, encode(RegisterInstance(record_fields(record_of(f"i{number}", document)))))
+        self.machine.apply(0, encode(RegisterInstance(record_fields(record_from_document(f"i{number}", document)))))
 
     def ask(self, prefix: str, tokens: float = 1000.0, unusable: str = "") -> str:
-        return self.owner.place(PrefixPlacementRequest("llm", prefix, tokens, unusable)).instance
+        return self.owner.assign(PrefixPlacementRequest("llm", prefix, tokens, unusable)).instance
 
     def replicate(self) -> None:
         while self.batches:
@@ -129,14 +129,14 @@
     assert {prefix: made.ask(prefix) for prefix in placements} == placements
     made.owner.leadership_changed(SHARD, False)
     made.groups.leads = False
-    assert made.owner.place(PrefixPlacementRequest("llm", "p0", 1.0)) == NotOwnerResponse(*OTHER)
+    assert made.owner.assign(PrefixPlacementRequest("llm", "p0", 1.0)) == NotOwnerResponse(*OTHER)
 
 
 def test_the_replicated_placements_are_bounded():
     placements = PrefixPlacements()
     for number in range(MAX_PREFIXES + 50):
         placements.assign(AssignPrefixes("llm", [(f"p{number}", f"i{number % 3}", 10.0)]))
-    assert len(placements.fields()["llm"]) == MAX_PREFIXES and placements.of("llm", "p0") == ""
+    assert len(placements.fields()["llm"]) == MAX_PREFIXES and placements.instance_of("llm", "p0") == ""
     assert sum(placements.tokens(f"i{number}") for number in range(3)) == 10.0 * MAX_PREFIXES
     assert PrefixPlacements(placements.fields()).fields() == placements.fields()
 
@@ -185,9 +185,9 @@
 
 def test_a_placement_is_new_in_the_first_response_of_the_owner_only():
     made = Owner()
-    answers = [made.owner.place(PrefixPlacementRequest("llm", "p", 1000.0)) for _ in range(2)]
+    answers = [made.owner.assign(PrefixPlacementRequest("llm", "p", 1000.0)) for _ in range(2)]
     assert [answer.is_new for answer in answers] == [True, False]
-    moved = made.owner.place(PrefixPlacementRequest("llm", "p", 1000.0, answers[0].instance))
+    moved = made.owner.assign(PrefixPlacementRequest("llm", "p", 1000.0, answers[0].instance))
     assert moved.is_new and moved.instance != answers[0].instance
 
 
--- a/tests/control_plane/registry/test_instances.py
+++ b/tests/control_plane/registry/test_instances.py
@@ -8,14 +8,14 @@
 from ochrespan.control_plane.registry.changes import NO_CHANGE
 from ochrespan.control_plane.registry.commands import ExpireInstances, RegisterInstance, RemoveInstance
 from ochrespan.control_plane.registry.heartbeats import MASS_EXPIRY_TIMEOUTS, HeartbeatMonitor, heartbeat_timeout_s
-from ochrespan.control_plane.registry.records import record_fields, record_of
+from ochrespan.control_plane.registry.records import record_fields, record_from_document
 from ochrespan.control_plane.registry.state_machine import InstanceStateMachine
 from ochrespan.transport.codec import encode
 from tests.support.control_plane_world import instance
 
 
 def register(machine, instance_id, sequence, state="ready", **fields):
-    record = record_of(instance_id, instance(sequence, state, **fields))
+    record = record_from_document(instance_id, instance(sequence, state, **fields))
     return machine.apply(1, encode(RegisterInstance(record_fields(record))))
 
 
--- a/tests/golden/make_disks.py
+++ b/tests/golden/make_disks.py
@@ -21,7 +21,7 @@
 from ochrespan.control_plane.control_state import ControlState
 from ochrespan.control_plane.registry.commands import ExpireInstances, RegisterInstance, RemoveInstance
 from ochrespan.control_plane.registry.prefix_placements import AssignPrefixes
-from ochrespan.control_plane.registry.records import record_fields, record_of
+from ochrespan.control_plane.registry.records import record_fields, record_from_document
 from ochrespan.control_plane.replication.persistent_records import pack_checkpoint, pack_record
 from ochrespan.control_plane.shards import CONFIG_SHARD, shard_of
 from ochrespan.raft.bootstrap import BootstrapSettings, Identity
@@ -230,7 +230,10 @@
     own = Member(78, OWN_ADDRESS)
     members = MembershipConfig.of([own])
     configuration_state = [configuration(5), [[bytes(range(16)), 4], [bytes(range(16, 32)), 5]]]
-    records_state = [record_fields(record_of("judge-1", instance(2))), {**_plain_record(), "left_out_later": 1}]
+    records_state = [
+        record_fields(record_from_document("judge-1", instance(2))),
+        {**_plain_record(), "left_out_later": 1},
+    ]
     instances_state = [records_state, {"judge-0": [4, True, False]}]
     order = make_command(ConfigCommandKind.REPLACE, 5, configuration(8, route("r8")))
     earlier_order = ormsgpack.packb(["cp.order", order.kind, order.builds_on, order.digest, order.body])
@@ -310,7 +313,7 @@
 
 
 def _report(instance_id: str, document: dict[str, Any]) -> tuple[int, bytes]:
-    record = record_of(instance_id, document)
+    record = record_from_document(instance_id, document)
     return shard_of(record.backend), encode(RegisterInstance(record_fields(record)))
 
 
@@ -335,7 +338,7 @@
 
 
 def _plain_record() -> dict[str, Any]:
-    return record_fields(record_of("judge-9", instance(4, "draining", address="10.0.0.99:80")))
+    return record_fields(record_from_document("judge-9", instance(4, "draining", address="10.0.0.99:80")))
 
 
 def main() -> None:
--- a/tests/golden/test_wire_bytes.py
+++ b/tests/golden/test_wire_bytes.py
@@ -290,7 +290,7 @@
 def test_the_homes_of_prefixes_on_record_lead_to_the_same_state():
     placements = PrefixPlacements(compact.unpack(RECORDED["snapshot/homes"]))
     assert placements.fields() == wire_samples.prefix_homes().fields()
-    assert (placements.of("chat", "p1"), placements.tokens("chat-2")) == ("chat-2", 65.5)
+    assert (placements.instance_of("chat", "p1"), placements.tokens("chat-2")) == ("chat-2", 65.5)
 
 
 # Files of the store
--- a/tests/test_router_tables.py
+++ b/tests/test_router_tables.py
@@ -21,7 +21,7 @@
 )
 from ochrespan.control_plane.feed.table import FleetChange, FleetTable, with_instances_change, with_router_count
 from ochrespan.control_plane.registry.changes import InstancesChange
-from ochrespan.control_plane.registry.records import record_of
+from ochrespan.control_plane.registry.records import record_from_document
 from ochrespan.control_plane.shards import ALL_SHARDS, CONFIG_SHARD, shard_of
 from ochrespan.data_plane import routing_table
 from ochrespan.data_plane.deadlines import DeadlineHeap
@@ -42,7 +42,7 @@
 
 def record(number: int, service: str, state: str = "ready"):
     fields = instance(1, state, backend=service, address=f"10.0.0.{number}:80")
-    return record_of(f"i-{service}-{number}", fields)
+    return record_from_document(f"i-{service}-{number}", fields)
 
 
 class RecordingScheduler(Scheduler):
@@ -217,7 +217,7 @@
 @pytest.fixture
 def follow(monkeypatch):
     """Lets a feed client take the messages of some connections, one after the other, to its end."""
-    monkeypatch.setattr(table_publisher, "PUBLISH_PAUSE_FACTOR", 0.0)
+    monkeypatch.setattr(table_publisher, "PUBLISH_INTERVAL_FACTOR", 0.0)
 
     def take(client: FeedClient, *connections: ArrivedTogether) -> None:
         for connection in connections:
@@ -256,7 +256,7 @@
     clock = [100.0]
     for module in (feed_client, table_publisher):
         monkeypatch.setattr(module, "monotonic", lambda: clock[0])
-    monkeypatch.setattr(table_publisher, "PUBLISH_PAUSE_FACTOR", 20.0)
+    monkeypatch.setattr(table_publisher, "PUBLISH_INTERVAL_FACTOR", 20.0)
     published: list[tuple[float, FleetTable]] = []
 
     def take(table: FleetTable, change: FleetChange) -> None:
@@ -280,11 +280,11 @@
     clock = [100.0]
     for module in (feed_client, table_publisher):
         monkeypatch.setattr(module, "monotonic", lambda: clock[0])
-    monkeypatch.setattr(table_publisher, "PUBLISH_PAUSE_FACTOR", 20.0)
+    monkeypatch.setattr(table_publisher, "PUBLISH_INTERVAL_FACTOR", 20.0)
 
     def take(table: FleetTable, change: FleetChange) -> None:
         clock[0] += 3.0
 
     client = FeedClient("edge-1", "z", [ADDRESS], take)
     follow(client, ArrivedTogether(*whole_state()))
-    assert client._publisher.paused_until == clock[0] + table_publisher.MAX_PUBLISH_PAUSE_S
+    assert client._publisher.paused_until == clock[0] + table_publisher.MAX_PUBLISH_INTERVAL_S
