Simulation: links that reorder messages and narrow links amid other faults

Cause: the simulation had links with a bandwidth only by themselves, and no messages that overtake each other.

--- a/benchmarks/soak_core.py
+++ b/benchmarks/soak_core.py
@@ -14,16 +14,24 @@
 
 import defopt
 
-from tests.support.raft_simulation.faults import HarshFaultInjector, play
+from tests.support.raft_simulation.faults import FaultInjector, HarshFaultInjector, play
 from tests.support.raft_simulation.first_start import play_drawn_first_start
 from tests.support.raft_simulation.search import Budget, search
 from tests.support.raft_simulation.world import World
 
+KINDS = {"": FaultInjector.KINDS, "late": FaultInjector.LATE_KINDS, "wire": FaultInjector.WIRE_KINDS}
 HARSH_GAPS_S = (0.4, 1.0, 2.5)  # between faults, in the mean
 
 
 def run(  # noqa: PLR0913 - each is an option of the command
-    *, size: int = 3, tolerated: int = 1, first: int = 0, count: int = 200, seconds: float = 20.0, harsh: bool = False
+    *,
+    size: int = 3,
+    tolerated: int = 1,
+    first: int = 0,
+    count: int = 200,
+    seconds: float = 20.0,
+    harsh: bool = False,
+    kinds: str = "",
 ) -> int:
     """Plays seeds of the whole core.
 
@@ -32,6 +40,7 @@
     :param first: first seed
     :param count: number of seeds
     :param seconds: virtual seconds of faults a seed
+    :param kinds: `late` or `wire` for the faults of that name in place of the usual ones
     :param harsh: lose disks amid other faults too, once the loss before is repaired, with cuts of up to 20 s
     """
     began, orders, reads, broken = time.monotonic(), 0, 0, 0
@@ -39,7 +48,7 @@
         world = World(seed, size, tolerated)
         gap_s = world.random.choice(HARSH_GAPS_S) if harsh else 1.0
         try:
-            play(world, seconds, gap_s, injector=HarshFaultInjector if harsh else None)
+            play(world, seconds, gap_s, KINDS[kinds], injector=HarshFaultInjector if harsh else None)
         except Exception as error:  # noqa: BLE001 - any failure is a finding: the seed repeats it, and the others go on
             broken += 1
             print(f"seed={seed} {type(error).__name__} {error}", flush=True)
--- a/tests/raft/test_simulation.py
+++ b/tests/raft/test_simulation.py
@@ -48,6 +48,14 @@
     assert sum(map(len, world.checks.acked.values())) > 20
 
 
+@pytest.mark.parametrize(("size", "fault_tolerance"), [(3, 1), (5, 2)])
+@pytest.mark.parametrize("seed", range(10))
+def test_no_rule_is_broken_when_links_reorder_and_are_narrow_amid_other_faults(seed, size, fault_tolerance):
+    world = World(seed, size, fault_tolerance)
+    play(world, 20.0, 0.5, FaultInjector.WIRE_KINDS)
+    assert sum(map(len, world.checks.acked.values())) > 20
+
+
 def test_a_seed_gives_the_same_run_each_time():
     runs = []
     for _ in range(2):
--- a/tests/support/raft_simulation/faults.py
+++ b/tests/support/raft_simulation/faults.py
@@ -36,6 +36,7 @@
 
     # Apart, so that the runs of the others stay as they are
     RESET_KINDS = ("cut_reset", "kill", "leave", "freeze")
+    WIRE_KINDS = ("reorder", "narrow", "stall", "cut", "cut_reset", "kill", "wipe", "freeze", "transfer")
     LATE_KINDS = ("stall", "stall", "stall", "transfer", "transfer", "leave", "hang_disk", "freeze")
 
     def __init__(self, world: World, kinds: tuple[str, ...] = KINDS) -> None:
@@ -54,6 +55,7 @@
         """Heals every fault and starts every machine that is down."""
         self.world.cuts.clear()
         for node in self.world.nodes.values():
+            self.world.bytes_per_s.pop(node.address, None)
             node.disk.full = False
             node.latency_factor = 1.0
             node.hung_until = 0.0
@@ -190,6 +192,20 @@
         self._disturb(seconds)
         self.world.stall(node.address, other.address, seconds)
 
+    def _reorder(self, node: Node) -> None:
+        """Messages overtake each other, as where old and new connections carry them, in both directions of a link."""
+        other = self.random.choice(list(self.world.nodes.values()))
+        until = self.world.now + self.random.uniform(0.5, 4.0)
+        self.world.reorders_until[node.address, other.address] = until
+        self.world.reorders_until[other.address, node.address] = until
+
+    def _narrow(self, node: Node) -> None:
+        """The links of a machine carry 10 to 600 kB a second for a while."""
+        self.world.bytes_per_s[node.address] = self.random.choice([10e3, 60e3, 600e3])
+        seconds = self.random.uniform(0.5, 4.0)
+        self._disturb(seconds)
+        self.world.later(seconds, None, lambda: self.world.bytes_per_s.pop(node.address, None))
+
     def _transfer(self, node: Node) -> None:
         """An operator has all shards that a machine leads transferred."""
         if node.running:
--- a/tests/support/raft_simulation/world.py
+++ b/tests/support/raft_simulation/world.py
@@ -17,6 +17,7 @@
 from .quota import QuotaTraffic
 
 PORT = 7500
+MAX_OVERTAKEN_S = 0.15  # a message is that much later than one that was sent after it, where links reorder
 COMMAND_FRACTION = 0.7  # of the traffic; the rest are reads
 
 
@@ -47,6 +48,7 @@
         self.bytes_per_s: dict[
             Address, float
         ] = {}  # of the links of a machine; links that are not listed have no limit
+        self.reorders_until: dict[tuple[Address, Address], float] = {}  # links whose messages overtake each other
         self.carried: dict[tuple[Address, Address], int] = {}  # bytes, over links with a limit
         self.checks = Checks(self)
         self.quota_traffic = QuotaTraffic(self)
@@ -103,6 +105,8 @@
         arrival = max(self.now + self.random.uniform(0.0005, 0.002), self._arrives.get((sender.address, to), 0.0))
         arrival += self._transmission_s(sender.address, to, envelope)
         self._arrives[sender.address, to] = arrival
+        if self.reorders_until.get((sender.address, to), 0.0) > self.now:
+            arrival += self.random.uniform(0.0, MAX_OVERTAKEN_S)
         self.later(arrival - self.now, receiver, lambda: self._deliver(sender.address, receiver, envelope))
 
     def _transmission_s(self, sender: Address, to: Address, envelope) -> float:
