--- a/tests/raft/test_bootstrap.py
+++ b/tests/raft/test_bootstrap.py
@@ -18,7 +18,12 @@
 from ochrespan.raft.multi_raft import MultiRaft, RecoveredGroups
 from ochrespan.raft.opening import Opening
 from tests.support.raft_simulation.checks import Violation
-from tests.support.raft_simulation.first_start import isolate, play_two_first_starts, schedule_faults, world_of
+from tests.support.raft_simulation.first_start import (
+    isolate,
+    play_faulty_first_start,
+    play_two_first_starts,
+    world_of,
+)
 from tests.support.raft_simulation.world import World, address
 
 FIRST_LEADER_S = 1.0
@@ -451,15 +456,7 @@
 def test_a_first_start_with_faults_forms_one_fleet(seed, wipes):
     """Whatever was acknowledged stays; without a lost disk commands are acknowledged in the end."""
     world = World(1000 + seed)
-    world.traffic(0.05, world.now + 12.0)
-    schedule_faults(world, wipes)
-    world.run(4.0)
-    world.cuts.clear()
-    for node in world.nodes.values():
-        node.latency_factor = 1.0
-        if not node.running:
-            node.start(world.seeds, bootstrap=False)
-    world.run(10.0)
+    play_faulty_first_start(world, wipes)
     if not wipes:
         assert is_command_acknowledged(world, within_s=5.0)
         assert machines_of(world) == list(world.seeds)
--- a/tests/support/raft_simulation/first_start.py
+++ b/tests/support/raft_simulation/first_start.py
@@ -58,6 +58,19 @@
         world.later(draw.uniform(0.1, 2.0), None, lambda: stop(draw.choice(nodes), "wipe"))
 
 
+def play_faulty_first_start(world: World, wipes: bool) -> None:
+    """Four seconds with the faults of `schedule_faults`, then ten in which all machines run and reach each other."""
+    world.traffic(0.05, world.now + 12.0)
+    schedule_faults(world, wipes)
+    world.run(4.0)
+    world.cuts.clear()
+    for node in world.nodes.values():
+        node.latency_factor = 1.0
+        if not node.running:
+            node.start(world.seeds, bootstrap=False)
+    world.run(10.0)
+
+
 def play_two_first_starts(
     seed: int, size: int, fault_tolerance: int, age_difference_s: float, apart_s: float = 2.0
 ) -> World:
@@ -104,16 +117,8 @@
         may_lack_majority = False
     else:
         world = World(seed, size, fault_tolerance)
-        world.traffic(0.05, world.now + 12.0)
         may_lack_majority = seed % 4 == 0
-        schedule_faults(world, wipes=may_lack_majority)
-        world.run(4.0)
-        world.cuts.clear()
-        for node in world.nodes.values():
-            node.latency_factor = 1.0
-            if not node.running:
-                node.start(world.seeds, bootstrap=False)
-        world.run(10.0)
+        play_faulty_first_start(world, wipes=may_lack_majority)
     if not may_lack_majority:
         ids = {node.multi_raft.bootstrap.identity.cluster_id for node in world.running()}
         assert len(ids) == 1, f"clusters {ids}"
