A controller that may still leave its cluster has no verdict on commands for a named one

Change: such a command gets 503 until the controller knows its cluster; a fleet of one seed knows it from its bootstrap.

--- a/ochrespan/control_plane/api/handlers.py
+++ b/ochrespan/control_plane/api/handlers.py
@@ -47,6 +47,7 @@
     Response,
     findings_response,
     json_response,
+    unavailable_response,
 )
 from ochrespan.observability.metrics import CONTENT_TYPE, MetricsRegistry
 
@@ -146,27 +147,34 @@
 
     def _submit(self, kind: ConfigCommandKind, check: Check, environment: Environment) -> Response:
         """Submits a configuration command, unless it names another cluster than this controller's."""
-        if finding := self._find_other_cluster(environment):
-            return findings_response(PRECONDITION_FAILED, [finding])
+        if refusal := self._refuse_other_cluster(environment):
+            return refusal
         version = _read_version(environment)
         body = _read_body(environment)
         return self._service.submit(_in_background(body, lambda: _read_command(kind, version, body, check)))
 
-    def _find_other_cluster(self, environment: Environment) -> Finding | None:
-        """The finding of a command that is meant for another cluster than this controller's."""
+    def _refuse_other_cluster(self, environment: Environment) -> Response | None:
+        """The response to a command that is meant for another cluster than this controller's; None for any other.
+
+        A controller that knows its cluster not yet, or may still leave it, has no verdict.
+        """
         intended_cluster = environment.get(CLUSTER_VARIABLE, "")
         own_cluster = self._service.cluster_name()
-        if intended_cluster and own_cluster and intended_cluster != own_cluster:
-            return Finding(CLUSTER_HEADER, intended_cluster, f"{own_cluster}, or none")
-        return None
+        if not intended_cluster or intended_cluster == own_cluster:
+            return None
+        if not own_cluster:
+            return unavailable_response(CLUSTER_HEADER, "a controller that has no cluster yet")
+        return findings_response(
+            PRECONDITION_FAILED, [Finding(CLUSTER_HEADER, intended_cluster, f"{own_cluster}, or none")]
+        )
 
     def _get_backup(self, _environment: Environment) -> Response:
         return self._service.read_backup()
 
     def _put_backup(self, environment: Environment) -> Response:
         """Restores a backup into a cluster that has no configuration yet; any other one responds with 412."""
-        if finding := self._find_other_cluster(environment):
-            return findings_response(PRECONDITION_FAILED, [finding])
+        if refusal := self._refuse_other_cluster(environment):
+            return refusal
         body = _read_body(environment)
         return self._service.submit(_in_background(body, lambda: _read_restore_command(body)))
 
--- a/ochrespan/control_plane/replication/host.py
+++ b/ochrespan/control_plane/replication/host.py
@@ -209,9 +209,9 @@
     def cluster(self) -> int:
         """Number of the cluster that this process belongs to.
 
-        0 while it belongs to none, or to one that has acknowledged nothing, as it may leave that for another.
+        0 while it belongs to none, or may still leave it for another, as nothing was acknowledged there.
         """
-        if self._running is None or self._running.multi_raft.has_acknowledged_nothing:
+        if self._running is None or self._running.multi_raft.may_leave_cluster:
             return 0
         return self._running.multi_raft.bootstrap.identity.cluster_id
 
--- a/ochrespan/raft/multi_raft.py
+++ b/ochrespan/raft/multi_raft.py
@@ -75,9 +75,9 @@
         return self.bootstrap.identity.replica_id
 
     @property
-    def has_acknowledged_nothing(self) -> bool:
-        """Whether this cluster cannot have acknowledged a command yet, so that this process may still leave it."""
-        return self._local.has_acknowledged_nothing
+    def may_leave_cluster(self) -> bool:
+        """Whether this process may still leave its cluster, which cannot have acknowledged a command yet."""
+        return self._local.has_acknowledged_nothing and self.opening.awaits_others
 
     def tick(self, now: float) -> None:
         """Does what is due by the clock."""
--- a/ochrespan/raft/opening.py
+++ b/ochrespan/raft/opening.py
@@ -39,6 +39,11 @@
         self._has_reported = False
         local.may_accept_commands = self.is_open
 
+    @property
+    def awaits_others(self) -> bool:
+        """Whether there are other initial members, without which this cluster accepts no commands."""
+        return bool(self._awaited_members())
+
     def proceed_without_missing(self) -> None:
         """An operator confirms that no initial member which is missing belongs to another cluster."""
         self._proceeds_without_missing = True
--- a/tests/control_plane/api/test_control_api.py
+++ b/tests/control_plane/api/test_control_api.py
@@ -57,6 +57,18 @@
     assert controller.put_config(early, 5)[0] == 200
 
 
+def test_a_controller_without_a_cluster_has_no_verdict_on_a_command_for_one(world):
+    """It may come to belong to that cluster or to another: to take the command could be wrong, to refuse it too."""
+    call = world.controllers[1].call
+    for path, body in [
+        ("/api/config", configuration(5)),
+        ("/api/config/backup", {"configuration": configuration(5), "accepted_commands": [], "last_evicted_version": 5}),
+    ]:
+        assert call("PUT", path, body, If_Match="0", X_Fleet_Cluster=cluster_name(0x2F))[0] == 503
+    assert call("GET", "/api/config")[1]["generation"] == 0
+    assert call("PUT", "/api/config", configuration(5), If_Match="0")[0] == 200
+
+
 def test_a_backup_for_another_cluster_is_rejected(world):
     for controller in world.controllers:
         controller.groups.cluster_number = 0x1F
