--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -251,7 +251,15 @@
 class Clients:
     """Clients that send one request of each kind in turn, each a single try on a connection of its own."""
 
-    def __init__(self, fleet: Fleet, kinds: dict[str, str], per_s: float, deadline_ms: int = 1500) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        kinds: dict[str, str],
+        per_s: float,
+        deadline_ms: int = 1500,
+        keys: dict[str, str] | None = None,
+    ) -> None:
+        self._keys = keys or {}  # API key by kind
         self._fleet, self._kinds, self._interval, self._deadline_ms = fleet, kinds, 1 / per_s, deadline_ms
         self.answers: dict[str, list[tuple[float, int]]] = {kind: [] for kind in kinds}
         self._stop = threading.Event()
@@ -286,12 +294,10 @@
         connection = http.client.HTTPConnection(ip, self._fleet.front, timeout=self._deadline_ms / 1000)
         stamp = None
         try:
-            connection.request(
-                "POST",
-                path + "x",
-                b"question",
-                {"Host": HOST, "X-Request-Id": request, "X-Deadline-Ms": str(self._deadline_ms)},
-            )
+            headers = {"Host": HOST, "X-Request-Id": request, "X-Deadline-Ms": str(self._deadline_ms)}
+            if kind in self._keys:
+                headers["X-Credential"] = self._keys[kind]
+            connection.request("POST", path + "x", b"question", headers)
             response = connection.getresponse()
             body, status, stamp = response.read(), response.status, response.getheader("X-Server-Stamp")
             if status == 200 and (not stamp or body != b"answer to " + request.encode()):
