--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -63,8 +63,9 @@
         self._file = path.open("w")
         self._start = time.monotonic()
 
-    def __call__(self, text: str) -> None:
-        self._file.write(f"{time.monotonic() - self._start:8.3f}  {text}\n")
+    def __call__(self, text: str, at: float | None = None) -> None:
+        """Writes a line; `at` is the time of the steady clock, now if left out."""
+        self._file.write(f"{(time.monotonic() if at is None else at) - self._start:8.3f}  {text}\n")
         self._file.flush()
 
 
@@ -80,6 +81,7 @@
         self.seeds = [f"{ip}:{self.control}" for ip, _ in list(self.controllers.values())[:3]]
         self.processes: dict[str, subprocess.Popen] = {}
         self._bootstrap = True
+        self._server_logs: dict[str, Path] = {}  # by id of the server
 
     def settings(self, name: str, bootstrap: bool) -> str:
         is_core = name in self.controllers
@@ -135,12 +137,27 @@
         self.send(name, signal.SIGKILL)
         self.processes[name].wait()
 
-    def stop(self) -> None:
+    def record_servers(self) -> None:
+        """Writes what the servers have logged: heartbeats with their answers, requests that were run, and 421s."""
+        lines = [
+            (float(line.split()[0]), identity, line.split(maxsplit=1)[1])
+            for identity, log in self._server_logs.items()
+            for line in log.read_text().splitlines()
+        ]
+        for at, identity, text in sorted(lines):
+            self.record(f"server {identity}: {text}", at)
+
+    def stop_processes(self) -> None:
+        """Ends every process that was started."""
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
         for process in self.processes.values():
             process.wait()
+
+    def stop(self) -> None:
+        """Ends every process and removes the folder."""
+        self.stop_processes()
         self._folder.cleanup()
 
     def log(self, name: str) -> str:
@@ -183,7 +200,7 @@
         self, name: str, identity: str, service: str, address: str, zone: str, controls: list[str], at: float = 0.0
     ) -> Path:
         """Starts a stand-in server as a process, which begins at the time `at`; returns its log."""
-        log = self.folder / f"{identity}.txt"
+        log = self._server_logs[identity] = self.folder / f"{identity}.txt"
         log.touch()
         targets = ",".join(each if ":" in each else f"{self.controllers[each][0]}:{self.control}" for each in controls)
         arguments = [identity, service, address, zone, str(HEARTBEAT_MS), targets, str(log)]
@@ -293,6 +310,7 @@
         sent = time.monotonic()
         connection = http.client.HTTPConnection(ip, self._fleet.front, timeout=self._deadline_ms / 1000)
         stamp = None
+        self._fleet.record(f"client: {request} {kind} sent to {ip}")
         try:
             headers = {"Host": HOST, "X-Request-Id": request, "X-Deadline-Ms": str(self._deadline_ms)}
             if kind in self._keys:
