--- a/review/3/case.py
+++ b/review/3/case.py
@@ -28,7 +28,7 @@
         "timeout_ms": 1500,
         "target_latency_ms": 200,
         "priority": 2,
-        "backend": "abonements",
+        "backend": "tag-ledger",
         "max_retries": 1,
         "public": False,
     }
@@ -38,7 +38,7 @@
     "generation": 1,
     "routes": [route("first")],
     "services": [
-        {"name": "abonements", "health_check": "/healthz", "max_connections": 96, "protocol": "h1", "tls": False}
+        {"name": "tag-ledger", "health_check": "/healthz", "max_connections": 110, "protocol": "h1", "tls": False}
     ],
     "limits": {
         "max_header_bytes": 16384,
@@ -79,7 +79,7 @@
     controls = list(fleet.controllers)
     logs = [
         fleet.start_server(
-            f"s-{number}", f"i-{number}", "abonements", f"127.0.75.9{number}:{fleet.front}", "hall-a", controls
+            f"s-{number}", f"i-{number}", "tag-ledger", f"127.0.75.9{number}:{fleet.front}", "hall-a", controls
         )
         for number in (1, 2)
     ]
@@ -114,6 +114,9 @@
     record(f"couldn't run: {error!r}")
     result = 2
 finally:
+    fleet.stop_processes()
+    record("what the servers have logged:")
+    fleet.record_servers()
     fleet.stop()
 record(f"exit {result}")
 sys.exit(result)
