Routers tell version, offset, followed controller and their ages; warn without a feed

GET /api/feed and metrics at the router's ready address, fleetctl router status READY... with one line a router, and the lines 'feed followed' and 'no current feed'.

--- a/ochrespan/control_plane/feed/client.py
+++ b/ochrespan/control_plane/feed/client.py
@@ -16,6 +16,7 @@
 
 from ochrespan.common.addresses import Address, format_address
 from ochrespan.control_plane.replication.groups import MAX_QUORUM_AGE_S
+from ochrespan.control_plane.shards import CONFIG_SHARD
 from ochrespan.transport.codec import MessageError
 from ochrespan.transport.tcp import Connection, ConnectionClosedError, dial
 
@@ -23,8 +24,9 @@
 from .draft_table import DraftTable
 from .errors import ControllerLagsError, LeaveControllerError, OtherClusterError, QuorumLostError
 from .messages import FeedDelta, FeedSnapshot, Freshness, Subscribe, are_different_clusters, max_duration_s
+from .progress import FeedProgress, ProgressRecorder
 from .router_count import RouterCountFilter
-from .table import FleetTable
+from .table import FleetChange, FleetTable
 from .table_publisher import OnChange, TablePublisher
 
 log = logging.getLogger(__name__)
@@ -33,6 +35,8 @@
 FEED_TIMEOUT_S = 1.2  # without a message; longer than two intervals of freshness messages
 MAX_LAG_S = 0.4  # a controller that has lagged behind others for longer is left
 MIN_STAY_S = 5.0  # with a controller before a move to one in the router's own zone
+MISSING_FEED_WARNING_S = 2.0  # without a current feed before a warning is logged
+MISSING_FEED_WARNING_INTERVAL_S = 5.0
 
 
 class FeedClient:
@@ -56,7 +60,10 @@
         self._zone = zone
         self._choice = ControllerChoice(node, zone, seeds)
         self._draft = DraftTable()
-        self._publisher = TablePublisher(self._draft, on_change)
+        self._on_change = on_change
+        self._publisher = TablePublisher(self._draft, self._table_published)
+        self._progress = ProgressRecorder(node, monotonic())
+        self._next_warning_at = 0.0
         self._cluster = 0  # id of the table's cluster, 0 before the first; only a restart of the router changes it
         self._router_count = RouterCountFilter()
         self._member_count = 0  # routers that membership finds alive
@@ -67,6 +74,10 @@
         """The published table; None until a configuration and the state of every shard have arrived."""
         return self._publisher.table
 
+    def progress(self) -> FeedProgress:
+        """Version, offsets and followed controller at this moment, with their ages."""
+        return self._progress.progress(monotonic())
+
     def start(self) -> None:
         """Starts to follow a controller."""
         self._greenlet = gevent.spawn(self._run)
@@ -96,9 +107,10 @@
                 log.info("feed left controller=%s reason=%r", format_address(address), str(reason))
             except (OSError, ConnectionClosedError, MessageError) as error:
                 log.info("feed connection lost controller=%s error=%r", format_address(address), str(error))
-            self.controller = None
+            self._set_not_current()
             self._publisher.publish_changes()
             self._publisher.publish_first_unconfirmed()
+            self._warn_of_missing_feed(address)
             gevent.sleep(self._choice.retry_delay_s(monotonic(), random.random()))
 
     def _follow(self, address: Address) -> None:
@@ -134,6 +146,7 @@
                 self._take_freshness(received, address)
                 if monotonic() - since > MIN_STAY_S and self._choice.is_nearer_available(address, monotonic()):
                     return
+            self._progress.record_offsets(self._draft.offsets, monotonic())
             if not connection.has_message:  # changes of all messages received so far are published together
                 self._publisher.publish_changes()
 
@@ -151,14 +164,14 @@
         self.leaders = {shard: (leader[0], leader[1]) for shard, leader in freshness.leaders.items()}
         self._choice.update({(ip, port): zone for ip, port, zone in freshness.controllers}, monotonic())
         if not has_quorum:
-            self.controller = None
+            self._set_not_current()
             if self._choice.is_other_available(address, monotonic()):
                 raise QuorumLostError(quorum_age_s)
             self._publisher.publish_first_unconfirmed()
             return
         if (lag_s := max_duration_s(freshness.lags)) > MAX_LAG_S:
             raise ControllerLagsError(lag_s)
-        self.controller = address
+        self._set_current(address)
         self._cluster = self._cluster or freshness.cluster
         self._choice.record_success(address)
         if freshness.router_count:
@@ -168,3 +181,37 @@
     def _set_router_count(self, reported: int, rank: int) -> None:
         now = monotonic()
         self._draft.set_router_count(self._router_count.update(reported, now), rank, now)
+
+    def _set_current(self, address: Address) -> None:
+        self.controller = address
+        now = monotonic()
+        without_feed_s = self._progress.seconds_without_feed(now)
+        if self._progress.record_current(address, now):
+            log.info(
+                "feed followed controller=%s version=%d offset=%d without_feed_s=%.1f",
+                format_address(address), self._draft.table.version, self._config_offset(), without_feed_s,
+            )  # fmt: skip
+
+    def _set_not_current(self) -> None:
+        self.controller = None
+        self._progress.record_not_current(monotonic())
+
+    def _warn_of_missing_feed(self, tried: Address) -> None:
+        """Logs that no feed has been current for some time, while that lasts."""
+        now = monotonic()
+        without_feed_s = self._progress.seconds_without_feed(now)
+        if without_feed_s < MISSING_FEED_WARNING_S or now < self._next_warning_at:
+            return
+        self._next_warning_at = now + MISSING_FEED_WARNING_INTERVAL_S
+        log.warning(
+            "no current feed without_feed_s=%.1f version=%d offset=%d tried=%s",
+            without_feed_s, self._draft.table.version, self._config_offset(), format_address(tried),
+        )  # fmt: skip
+
+    def _config_offset(self) -> int:
+        return self._draft.offsets.get(CONFIG_SHARD, 0)
+
+    def _table_published(self, table: FleetTable, change: FleetChange) -> None:
+        if self._on_change is not None:
+            self._on_change(table, change)
+        self._progress.record_version(table.version, monotonic())
--- a/ochrespan/data_plane/readiness.py
+++ b/ochrespan/data_plane/readiness.py
@@ -1,4 +1,4 @@
-"""HTTP server for the platform's readiness probe, an operator's drain and the metrics."""
+"""HTTP server for the platform's readiness probe, an operator's drain, the metrics and the progress of the feed."""
 
 from __future__ import annotations
 
@@ -17,6 +17,7 @@
 READY_PATH = "/api/readyz"
 METRICS_PATH = "/api/metrics"
 READINESS_PATH = "/api/readiness"
+FEED_PATH = "/api/feed"
 MAX_BODY_BYTES = 1024
 
 Environment = dict[str, Any]
@@ -37,6 +38,7 @@
         is_ready: Callable[[], bool],
         set_drained: Callable[[bool], None],
         registry: MetricsRegistry,
+        feed_document: Callable[[], dict[str, Any]],
     ) -> None:
         environment = {
             "SERVER_NAME": "router"
@@ -45,6 +47,7 @@
         self._is_ready = is_ready
         self._set_drained = set_drained
         self._registry = registry
+        self._feed_document = feed_document
 
     def _respond(self, environ: Environment, start_response: StartResponse) -> Iterable[bytes]:
         endpoint = environ["REQUEST_METHOD"], environ["PATH_INFO"]
@@ -53,9 +56,11 @@
             return response.respond(start_response)
         if endpoint == ("GET", METRICS_PATH):
             return _respond_with(start_response, HTTPStatus.OK, CONTENT_TYPE, self._registry.render())
+        if endpoint == ("GET", FEED_PATH):
+            return _respond_with_json(start_response, HTTPStatus.OK, self._feed_document())
         if endpoint == ("PUT", READINESS_PATH):
             return self._change(environ, start_response)
-        allowed = f"GET {READY_PATH}, GET {METRICS_PATH}, PUT {READINESS_PATH}"
+        allowed = f"GET {READY_PATH}, GET {METRICS_PATH}, GET {FEED_PATH}, PUT {READINESS_PATH}"
         return LocalResponse(404, f"found nothing, allowed {allowed}").respond(start_response)
 
     def _change(self, environ: Environment, start_response: StartResponse) -> Iterable[bytes]:
--- a/ochrespan/data_plane/router_node.py
+++ b/ochrespan/data_plane/router_node.py
@@ -19,6 +19,7 @@
 from .decisions import Server
 from .dispatcher import Dispatcher, SchedulerLike
 from .exchange import ExchangeContext
+from .feed_metrics import register_feed_metrics
 from .front import Front, PrefixLocator
 from .ingress import IngressServer
 from .quota_admission import Quotas
@@ -28,6 +29,7 @@
 from .server_pools import ServerPools
 
 if TYPE_CHECKING:
+    from ochrespan.control_plane.feed.progress import FeedProgress
     from ochrespan.control_plane.feed.table import FleetChange, FleetTable
 
 log = logging.getLogger(__name__)
@@ -84,6 +86,7 @@
         quotas: Quotas | None = None,
         prefix_locator: PrefixLocator | None = None,
         table_is_fresh: Callable[[], bool] = lambda: True,
+        feed_progress: Callable[[], FeedProgress] | None = None,
     ) -> None:
         deadlines = DeadlineHeap(gevent.get_hub().loop)
         registry = MetricsRegistry()
@@ -93,11 +96,19 @@
         context = ExchangeContext(self._dispatcher, self._pools, deadlines, self.decision_log)
         self._front = Front(context, table_is_fresh, quotas, prefix_locator)
         self.ingress = IngressServer(front, self._front, deadlines, limits.client_connections, limits.body_bytes)
-        self._readiness = ReadinessServer(ready, self.is_ready, self.set_drained, registry)
+        self._readiness = ReadinessServer(
+            ready,
+            self.is_ready,
+            self.set_drained,
+            registry,
+            lambda: {} if feed_progress is None else feed_progress().document(),
+        )
         self._stopping = False
         self._drained = False
         self._version = 0
         self._add_gauges(registry)
+        if feed_progress is not None:
+            register_feed_metrics(registry, feed_progress)
 
     def _add_gauges(self, registry: MetricsRegistry) -> None:
         registry.gauge(
--- a/ochrespan/programs/fleetctl.py
+++ b/ochrespan/programs/fleetctl.py
@@ -179,6 +179,17 @@
     return f"{router}: takes new connections"
 
 
+def router_status(*routers: str) -> str:
+    """Show the version, offset and followed controller of routers, and the age of each, one router a line.
+
+    :param routers: their `ready` addresses
+    """
+    results = [(router, client_for_process("router", router, rounds=1).get("/api/feed")) for router in routers]
+    return fleet_reports.feed_report(
+        (router, result.unwrap() if isinstance(result, Success) else None) for router, result in results
+    )
+
+
 def check_settings(file: Path) -> str:
     """Check a settings file; all findings are reported together.
 
@@ -194,7 +205,7 @@
     "instances": instances,
     "config": {"show": show, "history": history, "check": check, "diff": diff, "apply": apply},
     "drain": drain,
-    "router": {"drain": drain_router, "activate": activate_router},
+    "router": {"drain": drain_router, "activate": activate_router, "status": router_status},
     "hand-over": hand_over,
     "bootstrap": {"proceed": proceed},
     "backup": backup,
--- a/ochrespan/programs/fleetctl_commands/common.py
+++ b/ochrespan/programs/fleetctl_commands/common.py
@@ -28,9 +28,9 @@
     return [ControlClient([address]) for address in _controller_addresses(controllers)]
 
 
-def client_for_process(argument: str, address: str) -> ControlClient:
+def client_for_process(argument: str, address: str, rounds: int | None = None) -> ControlClient:
     """A client of the one process whose address was given as `argument`; raises ValidationError."""
-    return ControlClient(_parse_addresses(argument, [address]))
+    return ControlClient(_parse_addresses(argument, [address]), rounds=rounds)
 
 
 def fleet_status(controllers: list[str] | None) -> dict[str, Any]:
--- a/ochrespan/programs/fleetctl_commands/control_client.py
+++ b/ochrespan/programs/fleetctl_commands/control_client.py
@@ -49,11 +49,18 @@
     Args:
         controllers: their control addresses.
         sleep: waits between two rounds; called with a number of seconds.
+        rounds: the maximum number of rounds; None for MAX_ROUNDS.
     """
 
-    def __init__(self, controllers: Sequence[Address], sleep: Callable[[float], None] = time.sleep) -> None:
+    def __init__(
+        self,
+        controllers: Sequence[Address],
+        sleep: Callable[[float], None] = time.sleep,
+        rounds: int | None = None,
+    ) -> None:
         self._controllers = controllers
         self._sleep = sleep
+        self._rounds = MAX_ROUNDS if rounds is None else rounds
 
     def get(self, path: str) -> Result[Any, CallFailure]:
         """The document at `path`."""
@@ -66,7 +73,7 @@
     def _call(self, method: str, path: str, document: Any, headers: dict[str, str]) -> Result[Any, CallFailure]:
         body = b"" if document is None else json.dumps(document).encode()
         failure = CallFailure("no controller", None, ())
-        for round_number in range(MAX_ROUNDS):
+        for round_number in range(self._rounds):
             for address in self._controllers:
                 result = self._call_one(address, method, path, body, headers)
                 if isinstance(result, Success):
--- a/ochrespan/programs/fleetctl_commands/reports.py
+++ b/ochrespan/programs/fleetctl_commands/reports.py
@@ -9,6 +9,9 @@
 from typing import Any
 
 from ochrespan.control_plane.config.configuration import SECTIONS, Configuration, SectionChange, change_to
+from ochrespan.control_plane.shards import CONFIG_SHARD
+
+FEED_HEADER = ("router", "node", "version", "age", "offset", "age", "controller", "age", "confirmed")
 
 
 def table(header: Sequence[str], rows: Iterable[Sequence[Any]]) -> str:
@@ -55,6 +58,31 @@
     return table(("role", "member", "zone"), sorted(controllers) + routers)
 
 
+def feed_report(documents: Iterable[tuple[str, dict[str, Any] | None]]) -> str:
+    """The progress of each router's feed, by its address; None for a router that did not respond."""
+    return table(FEED_HEADER, [(address, *_feed_columns(document)) for address, document in documents])
+
+
+def _feed_columns(document: dict[str, Any] | None) -> tuple[str, ...]:
+    if document is None:
+        return ("no answer", *[""] * (len(FEED_HEADER) - 2))
+    config = next((each for each in document["shards"] if each["shard"] == CONFIG_SHARD), None)
+    return (
+        document["node"],
+        str(document["version"]),
+        _seconds(document["version_age_s"]),
+        "none" if config is None else str(config["offset"]),
+        _seconds(None if config is None else config["age_s"]),
+        document["controller"] or "none",
+        _seconds(document["controller_age_s"]),
+        _seconds(document["current_age_s"]),
+    )
+
+
+def _seconds(age_s: float | None) -> str:
+    return "never" if age_s is None else f"{age_s:.1f} s"
+
+
 def instances_report(status: dict[str, Any], service: str = "") -> str:
     """The registered instances, of one service or of all."""
     listed = [each for each in status["instances"] if service in ("", each["backend"])]
--- a/ochrespan/programs/router_process.py
+++ b/ochrespan/programs/router_process.py
@@ -58,6 +58,7 @@
             self._quota_client,
             prefix_placements,
             table_is_fresh=lambda: self._feed.controller is not None,
+            feed_progress=self._feed.progress,
         )
         self._set_decision_sampling(settings)
 
--- a/tests/control_plane/feed/test_feed.py
+++ b/tests/control_plane/feed/test_feed.py
@@ -338,3 +338,22 @@
     late = Router(world, "edge-2")
     routers.append(late)
     late.wait(lambda table: len(table.instances_of("judges")) == 100)
+
+
+def test_a_router_tells_what_it_follows_and_warns_while_it_has_no_current_feed(world, routers, monkeypatch, caplog):
+    monkeypatch.setattr("ochrespan.control_plane.feed.client.MISSING_FEED_WARNING_S", 0.0)
+    caplog.set_level("INFO")
+    world.controllers[0].put_config(configuration(5), 0)
+    router = Router(world)
+    routers.append(router)
+    router.wait(lambda table: table.version == 5)
+    gevent.sleep(0)
+    progress = router.client.progress()
+    assert (progress.version, progress.controller) == (5, world.addresses()[0])
+    assert {each.shard: each.offset for each in progress.shards} == router.client._draft.offsets
+    assert "feed followed controller=" in caplog.text
+    world.close()
+    with gevent.Timeout(WAIT_TIMEOUT_S):
+        while "no current feed without_feed_s=" not in caplog.text:
+            gevent.sleep(0.01)
+    assert router.client.progress().controller is None
--- a/tests/programs/test_fleetctl.py
+++ b/tests/programs/test_fleetctl.py
@@ -3,13 +3,18 @@
 import json
 
 import pytest
+from geventhttpclient import HTTPClient
 
 from ochrespan.common.validation import ValidationError
 from ochrespan.control_plane.api import handlers as api
-from ochrespan.control_plane.shards import ALL_SHARDS
+from ochrespan.control_plane.feed.progress import ProgressRecorder
+from ochrespan.control_plane.shards import ALL_SHARDS, CONFIG_SHARD
+from ochrespan.data_plane.router_node import DrainTimes, MachineLimits, RouterNode
+from ochrespan.data_plane.scheduler import Scheduler
 from ochrespan.programs import fleetctl
 from ochrespan.programs.fleetctl_commands import control_client
 from ochrespan.programs.fleetctl_commands.backup_file import AcceptedCommands, Backup, read_backup, write_backup
+from tests.fleet_standins import unused_address
 from tests.support.control_plane_world import World, configuration, instance, route, service, tenant
 
 
@@ -267,3 +272,53 @@
     file.write_text("node: core-1\nip: 10.0.0.1\nzone: a\nport_range: [3, 9]\nseeds: ['10.0.0.1:5']\nlisten: {}\n")
     assert fleetctl.main(["settings", "check", str(file)]) == 0
     assert "valid, core-1 in a" in capsys.readouterr().out
+
+
+def test_the_status_of_routers_tells_version_offset_and_controller_with_their_ages(capsys):
+    recorder = ProgressRecorder("edge-1", 0.0)
+    recorder.record_offsets({CONFIG_SHARD: 7}, 1.0)
+    recorder.record_version(5, 2.0)
+    recorder.record_current(("10.0.0.1", 7660), 3.0)
+    ready = unused_address()
+    scheduler = Scheduler("hall-a", 7, retry_ratio=0.2, retry_slack=10.0, retry_window=10.0)
+    node = RouterNode(
+        ("127.0.0.1", 0), ready, MachineLimits(), scheduler, feed_progress=lambda: recorder.progress(10.0)
+    )
+    node.start()
+    try:
+        addresses = [f"{host}:{port}" for host, port in (ready, unused_address())]
+        assert fleetctl.main(["router", "status", *addresses]) == 0
+        header, responding, silent = capsys.readouterr().out.strip().splitlines()
+        assert header.split() == ["router", "node", "version", "age", "offset", "age", "controller", "age", "confirmed"]
+        assert responding.split()[1:] == [
+            "edge-1",
+            "5",
+            "8.0",
+            "s",
+            "7",
+            "9.0",
+            "s",
+            "10.0.0.1:7660",
+            "7.0",
+            "s",
+            "7.0",
+            "s",
+        ]
+        assert silent.split() == [addresses[1], "no", "answer"]
+        metrics = node_metrics(ready)
+        assert metrics['ochrespan_feed_controller_age_seconds{controller="10.0.0.1:7660"}'] == "7"
+        assert metrics['ochrespan_feed_offset{shard="0"}'] == "7"
+        assert metrics["ochrespan_feed_current_age_seconds"] == "7"
+        assert metrics["ochrespan_configuration_version_age_seconds"] == "8"
+    finally:
+        node.drain(DrainTimes.within(0.1))
+
+
+def node_metrics(ready):
+    """The values of a router's metrics by name and labels."""
+    client = HTTPClient(*ready)
+    try:
+        text = client.get("/api/metrics").read().decode()
+    finally:
+        client.close()
+    return dict(line.rsplit(" ", 1) for line in text.splitlines() if not line.startswith("#"))
