Soak of the feed: real fleets with faults, and what each router serves after each change

tests/support/fleet_processes starts controllers and routers at loopback addresses of their own; links are cut or slow by a wrapper around the connections of each process, dead machines are addresses whose connects time out.

--- /dev/null
+++ b/tests/support/fleet_processes/__init__.py
@@ -0,0 +1,1 @@
+"""Real controllers and routers on loopback addresses, with faults of processes, machines and links."""
