--- a/ochrespan/control_plane/feed/client.py
+++ b/ochrespan/control_plane/feed/client.py
@@ -95,24 +95,29 @@
     def members_changed(self, routers: Collection[str], controllers: Mapping[Address, str]) -> None:
         """Takes the processes that membership finds alive; `controllers` maps addresses to zones."""
         self._member_count = len(routers)
-        self._choice.update(controllers, monotonic())
+        self._choice.add(controllers)
         self._set_router_count(self._member_count, self._draft.table.router_rank)
 
     def _run(self) -> None:
         while True:
             address = self._choice.best(monotonic())
-            try:
-                self._follow(address)
-            except LeaveControllerError as reason:
-                log.info("feed left controller=%s reason=%r", format_address(address), str(reason))
-            except (OSError, ConnectionClosedError, MessageError) as error:
-                log.info("feed connection lost controller=%s error=%r", format_address(address), str(error))
-            self._set_not_current()
-            self._publisher.publish_changes()
-            self._publisher.publish_first_unconfirmed()
-            self._warn_of_missing_feed(address)
+            if address is not None:
+                self._try_to_follow(address)
             gevent.sleep(self._choice.retry_delay_s(monotonic(), random.random()))
 
+    def _try_to_follow(self, address: Address) -> None:
+        """Follows a controller until its feed ends, and logs why it has ended."""
+        try:
+            self._follow(address)
+        except LeaveControllerError as reason:
+            log.info("feed left controller=%s reason=%r", format_address(address), str(reason))
+        except (OSError, ConnectionClosedError, MessageError) as error:
+            log.info("feed connection lost controller=%s error=%r", format_address(address), str(error))
+        self._set_not_current()
+        self._publisher.publish_changes()
+        self._publisher.publish_first_unconfirmed()
+        self._warn_of_missing_feed(address)
+
     def _follow(self, address: Address) -> None:
         """Subscribes to a controller and reads its feed; returns when one in the router's own zone is available.
 
@@ -144,7 +149,7 @@
                 self._draft.apply_snapshot(received, monotonic())
             elif isinstance(received, Freshness):
                 self._take_freshness(received, address)
-                if monotonic() - since > MIN_STAY_S and self._choice.is_nearer_available(address, monotonic()):
+                if monotonic() - since > MIN_STAY_S and self._choice.nearer(address, monotonic()) is not None:
                     return
             self._progress.record_offsets(self._draft.offsets, monotonic())
             if not connection.has_message:  # changes of all messages received so far are published together
@@ -162,7 +167,7 @@
         has_quorum = quorum_age_s <= MAX_QUORUM_AGE_S
         self._draft.advance_offsets(freshness, has_quorum, address, monotonic())
         self.leaders = {shard: (leader[0], leader[1]) for shard, leader in freshness.leaders.items()}
-        self._choice.update({(ip, port): zone for ip, port, zone in freshness.controllers}, monotonic())
+        self._take_controllers(freshness, has_quorum)
         if not has_quorum:
             self._set_not_current()
             if self._choice.is_other_available(address, monotonic()):
@@ -178,6 +183,14 @@
             self._set_router_count(max(self._member_count, freshness.router_count), freshness.router_rank)
         self._publisher.publish_first()
 
+    def _take_controllers(self, freshness: Freshness, has_quorum: bool) -> None:
+        """Takes the listed controllers; a sender without a quorum may be cut off from others that are alive."""
+        zones = {(ip, port): zone for ip, port, zone in freshness.controllers}
+        if has_quorum:
+            self._choice.update(zones, monotonic())
+        else:
+            self._choice.add(zones)
+
     def _set_router_count(self, reported: int, rank: int) -> None:
         now = monotonic()
         self._draft.set_router_count(self._router_count.update(reported, now), rank, now)
