A router keeps its feed while it connects to a nearer controller

A router that follows a controller of another zone left it after 5 s for a listed one of its own zone before it knew that this one responds. Such a controller may have just died (it stays listed for 3.5 s) or be cut off from this router alone: then each attempt was up to 1 s to connect and 1.2 s of silence without a feed, every 5 s.

Change: the router subscribes to the nearer controller in another greenlet, waits for its first message, and only then ends the subscription that it reads. Both may send the same changes: offsets tell. Subscription is a class of its own, which the test of the tables patches in place of the client's dial.

Both new tests fail on the parent (the router notes times without a current feed) and pass now.

--- a/ochrespan/control_plane/feed/client.py
+++ b/ochrespan/control_plane/feed/client.py
@@ -18,7 +18,7 @@
 from ochrespan.control_plane.replication.groups import MAX_QUORUM_AGE_S
 from ochrespan.control_plane.shards import CONFIG_SHARD
 from ochrespan.transport.codec import MessageError
-from ochrespan.transport.tcp import Connection, ConnectionClosedError, dial
+from ochrespan.transport.tcp import ConnectionClosedError
 
 from .controller_choice import ControllerChoice
 from .draft_table import DraftTable
@@ -26,15 +26,15 @@
 from .messages import FeedDelta, FeedSnapshot, Freshness, Subscribe, are_different_clusters, max_duration_s
 from .progress import FeedProgress, ProgressRecorder
 from .router_count import RouterCountFilter
+from .subscription import Subscription
 from .table import FleetChange, FleetTable
 from .table_publisher import OnChange, TablePublisher
 
 log = logging.getLogger(__name__)
 
 
-FEED_TIMEOUT_S = 1.2  # without a message; longer than two intervals of freshness messages
 MAX_LAG_S = 0.4  # a controller that has lagged behind others for longer is left
-MIN_STAY_S = 5.0  # with a controller before a move to one in the router's own zone
+MIN_STAY_S = 5.0  # with a controller before each attempt to move to one in the router's own zone
 MISSING_FEED_WARNING_S = 2.0  # without a current feed before a warning is logged
 MISSING_FEED_WARNING_INTERVAL_S = 5.0
 
@@ -68,6 +68,9 @@
         self._router_count = RouterCountFilter()
         self._member_count = 0  # routers that membership finds alive
         self._greenlet: gevent.Greenlet | None = None
+        self._preparation: gevent.Greenlet | None = None
+        self._prepared: Subscription | None = None  # at a nearer controller, to be followed next
+        self._prepare_after = 0.0  # no subscription is prepared before this time
 
     @property
     def table(self) -> FleetTable | None:
@@ -84,8 +87,10 @@
 
     def stop(self) -> None:
         """Stops following; the table remains available."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
+        gevent.killall([each for each in (self._greenlet, self._preparation) if each is not None])
+        if self._prepared is not None:
+            self._prepared.close()
+            self._prepared = None
         self._publisher.stop()
 
     def seeds_changed(self, seeds: list[Address]) -> None:
@@ -100,15 +105,18 @@
 
     def _run(self) -> None:
         while True:
-            address = self._choice.best(monotonic())
+            prepared, self._prepared = self._prepared, None
+            address = self._choice.best(monotonic()) if prepared is None else prepared.address
             if address is not None:
-                self._try_to_follow(address)
-            gevent.sleep(self._choice.retry_delay_s(monotonic(), random.random()))
+                self._try_to_follow(address, prepared)
+            if self._prepared is None:
+                gevent.sleep(self._choice.retry_delay_s(monotonic(), random.random()))
 
-    def _try_to_follow(self, address: Address) -> None:
-        """Follows a controller until its feed ends, and logs why it has ended."""
+    def _try_to_follow(self, address: Address, prepared: Subscription | None) -> None:
+        """Follows a controller until its feed ends or another subscription is prepared; logs why a feed has ended."""
         try:
-            self._follow(address)
+            self._follow(address, prepared)
+            return
         except LeaveControllerError as reason:
             log.info("feed left controller=%s reason=%r", format_address(address), str(reason))
         except (OSError, ConnectionClosedError, MessageError) as error:
@@ -118,8 +126,8 @@
         self._publisher.publish_first_unconfirmed()
         self._warn_of_missing_feed(address)
 
-    def _follow(self, address: Address) -> None:
-        """Subscribes to a controller and reads its feed; returns when one in the router's own zone is available.
+    def _follow(self, address: Address, prepared: Subscription | None) -> None:
+        """Reads the feed of a controller; returns when a subscription at one in the router's own zone is prepared.
 
         Raises:
             LeaveControllerError: The controller should not be followed further.
@@ -127,34 +135,59 @@
             ConnectionClosedError: The connection was lost or timed out.
             MessageError: A message was malformed.
         """
-        connection = None
+        subscription = prepared
         try:
-            connection = dial(address, self._choice.connect_timeout_s(address))
-            connection.set_idle_timeout(FEED_TIMEOUT_S)
-            connection.send(Subscribe(self._node_name, self._zone, dict(self._draft.offsets), self._cluster))
-            self._read(address, connection, since=monotonic())
+            subscription = subscription or self._subscribe(address)
+            self._read(subscription)
         except (OSError, ConnectionClosedError, MessageError, LeaveControllerError):
             self._choice.record_failure(address, monotonic(), random.random())
             raise
         finally:
-            if connection is not None:
-                connection.close()
+            if subscription is not None:
+                subscription.close()
 
-    def _read(self, address: Address, connection: Connection, since: float) -> None:
-        while True:
-            received = connection.receive()
+    def _subscribe(self, address: Address) -> Subscription:
+        request = Subscribe(self._node_name, self._zone, dict(self._draft.offsets), self._cluster)
+        return Subscription.open(address, self._choice.connect_timeout_s(address), request)
+
+    def _read(self, subscription: Subscription) -> None:
+        self._prepare_after = monotonic() + MIN_STAY_S
+        while self._prepared is None:
+            received = subscription.receive()
             if isinstance(received, FeedDelta):
                 self._draft.apply_delta(received, monotonic())
             elif isinstance(received, FeedSnapshot):
                 self._draft.apply_snapshot(received, monotonic())
             elif isinstance(received, Freshness):
-                self._take_freshness(received, address)
-                if monotonic() - since > MIN_STAY_S and self._choice.nearer(address, monotonic()) is not None:
-                    return
+                self._take_freshness(received, subscription.address)
+                self._prepare_nearer(subscription.address)
             self._progress.record_offsets(self._draft.offsets, monotonic())
-            if not connection.has_message:  # changes of all messages received so far are published together
+            if not subscription.has_message:  # changes of all messages received so far are published together
                 self._publisher.publish_changes()
 
+    def _prepare_nearer(self, followed: Address) -> None:
+        """Subscribes to a nearer controller in another greenlet, while the feed of the followed one is read on."""
+        now = monotonic()
+        is_preparing = self._preparation is not None and not self._preparation.dead
+        if is_preparing or now < self._prepare_after or (nearer := self._choice.nearer(followed, now)) is None:
+            return
+        self._prepare_after = now + MIN_STAY_S
+        self._preparation = gevent.spawn(self._prepare, nearer)
+
+    def _prepare(self, address: Address) -> None:
+        """Subscribes to a controller and waits for its first message: a listed controller may be out of reach."""
+        subscription = None
+        try:
+            subscription = self._subscribe(address)
+            subscription.wait_for_message()
+            self._prepared, subscription = subscription, None
+        except (OSError, ConnectionClosedError, MessageError) as error:
+            self._choice.record_failure(address, monotonic(), random.random())
+            log.info("nearer controller not followed controller=%s error=%r", format_address(address), str(error))
+        finally:
+            if subscription is not None:
+                subscription.close()
+
     def _take_freshness(self, freshness: Freshness, address: Address) -> None:
         """Applies a freshness message, and decides by it whether the controller's feed is current.
 
--- a/tests/control_plane/feed/test_feed.py
+++ b/tests/control_plane/feed/test_feed.py
@@ -5,10 +5,13 @@
 import gevent
 import pytest
 from gevent.event import Event
+from gevent.server import StreamServer
 
 from ochrespan.control_plane.feed.client import FeedClient
+from ochrespan.control_plane.feed.controller_choice import ControllerChoice
 from ochrespan.control_plane.feed.errors import OtherClusterError
 from ochrespan.control_plane.feed.messages import ControllerReport, Freshness, Subscribe
+from ochrespan.control_plane.feed.progress import ProgressRecorder
 from ochrespan.control_plane.feed.server import FeedServer
 from ochrespan.control_plane.feed.table import FleetChange, FleetTable
 from ochrespan.control_plane.quota.router_setup import configure_quotas, owner_client_for, quota_client_for
@@ -357,3 +360,57 @@
         while "no current feed without_feed_s=" not in caplog.text:
             gevent.sleep(0.01)
     assert router.client.progress().controller is None
+
+
+@pytest.fixture
+def not_current(monkeypatch):
+    """The times at which any router had no current feed after it had followed one."""
+    times: list[float] = []
+    record = ProgressRecorder.record_not_current
+
+    def record_time(recorder: ProgressRecorder, now: float) -> None:
+        times.append(now)
+        record(recorder, now)
+
+    monkeypatch.setattr(ProgressRecorder, "record_not_current", record_time)
+    return times
+
+
+def test_a_router_keeps_its_feed_while_it_tries_a_nearer_controller_that_does_not_respond(
+    world, routers, monkeypatch, not_current, caplog
+):
+    silent = StreamServer(("127.0.0.1", 0), lambda sock, _: gevent.sleep(WAIT_TIMEOUT_S))
+    silent.start()
+    monkeypatch.setattr("ochrespan.control_plane.feed.client.MIN_STAY_S", 0.0)
+    monkeypatch.setattr("ochrespan.control_plane.feed.subscription.FEED_TIMEOUT_S", 0.8)
+    monkeypatch.setattr(ControllerChoice, "nearer", lambda choice, current, now: silent.address)
+    caplog.set_level("INFO")
+    world.controllers[0].put_config(configuration(5), 0)
+    router = Router(world)
+    routers.append(router)
+    router.wait(lambda table: table.version == 5)
+    with gevent.Timeout(WAIT_TIMEOUT_S):
+        while "nearer controller not followed" not in caplog.text:
+            gevent.sleep(0.01)
+    assert not not_current
+    silent.stop()
+
+
+def test_a_router_moves_to_a_nearer_controller_without_a_time_without_a_feed(world, routers, monkeypatch, not_current):
+    monkeypatch.setattr("ochrespan.control_plane.feed.client.MIN_STAY_S", 0.0)
+    farther, nearer = world.controllers[0], world.controllers[1]
+    monkeypatch.setattr(
+        ControllerChoice,
+        "nearer",
+        lambda choice, current, now: nearer.groups.address if current == farther.groups.address else None,
+    )
+    farther.put_config(configuration(5), 0)
+    router = Router(world)
+    routers.append(router)
+    router.wait(lambda table: table.version == 5)
+    with gevent.Timeout(WAIT_TIMEOUT_S):
+        while router.client.controller != nearer.groups.address:
+            gevent.sleep(0.01)
+    farther.put_config(configuration(6), 5)
+    router.wait(lambda table: table.version == 6)
+    assert not not_current
--- a/tests/test_router_tables.py
+++ b/tests/test_router_tables.py
@@ -10,7 +10,7 @@
 from ochrespan.control_plane.config.configuration import Configuration, change_to
 from ochrespan.control_plane.config.views import ConfigurationView
 from ochrespan.control_plane.feed import client as feed_client
-from ochrespan.control_plane.feed import table_publisher
+from ochrespan.control_plane.feed import subscription, table_publisher
 from ochrespan.control_plane.feed.client import FeedClient
 from ochrespan.control_plane.feed.messages import (
     FeedDelta,
@@ -221,9 +221,9 @@
 
     def take(client: FeedClient, *connections: MessageBatch) -> None:
         for connection in connections:
-            monkeypatch.setattr(feed_client, "dial", lambda address, timeout, given=connection: given)
+            monkeypatch.setattr(subscription, "dial", lambda address, timeout, given=connection: given)
             with pytest.raises(ConnectionClosedError):
-                client._follow(ADDRESS)
+                client._follow(ADDRESS, None)
             client._publisher.publish_changes()
 
     return take
