A fault of the program in a router's feed no longer ends the feed for good

Cause: the greenlet of the feed caught three kinds of errors; any other ended it, silently but for a trace outside the log. One such was at hand: a seed that had never been listed counted as listed at time 0, so on a machine that is up for more than 600 s a change of settings removed it at once, also while the router connected to it, and record_failure raised KeyError.

Change: the loop logs 'feed failed, continuing' with the trace, notes the failure and goes on at another controller.

--- a/ochrespan/control_plane/feed/client.py
+++ b/ochrespan/control_plane/feed/client.py
@@ -105,13 +105,20 @@
 
     def _run(self) -> None:
         while True:
-            prepared, self._prepared = self._prepared, None
-            address = self._choice.best(monotonic()) if prepared is None else prepared.address
-            if address is not None:
-                self._try_to_follow(address, prepared)
+            try:
+                self._follow_next()
+            except Exception:  # noqa: BLE001 - whatever fails, the router would keep its table for good without a feed
+                log.exception("feed failed, continuing")
+                self._set_not_current()
             if self._prepared is None:
                 gevent.sleep(self._choice.retry_delay_s(monotonic(), random.random()))
 
+    def _follow_next(self) -> None:
+        prepared, self._prepared = self._prepared, None
+        address = self._choice.best(monotonic()) if prepared is None else prepared.address
+        if address is not None:
+            self._try_to_follow(address, prepared)
+
     def _try_to_follow(self, address: Address, prepared: Subscription | None) -> None:
         """Follows a controller until its feed ends or another subscription is prepared; logs why a feed has ended."""
         try:
@@ -139,7 +146,7 @@
         try:
             subscription = subscription or self._subscribe(address)
             self._read(subscription)
-        except (OSError, ConnectionClosedError, MessageError, LeaveControllerError):
+        except Exception:
             self._choice.record_failure(address, monotonic(), random.random())
             raise
         finally:
--- a/tests/control_plane/feed/test_controller_choice.py
+++ b/tests/control_plane/feed/test_controller_choice.py
@@ -69,6 +69,24 @@
     assert choice.best(5 * CONTROLLER_TTL_S) == B  # there is no other any more
 
 
+def test_a_seed_that_is_dropped_while_the_router_connects_to_it_ends_nothing():
+    choice = ControllerChoice("edge-1", "c", [A, B])
+    connecting_to = choice.best(700.0)
+    choice.set_seeds([])
+    choice.update({C: "c"}, 700.0)
+    choice.update({C: "c"}, 701.0 + CONTROLLER_TTL_S)
+    assert choice.connect_timeout_s(connecting_to) > 0
+    assert choice.nearer(connecting_to, 800.0) == C
+    choice.record_failure(connecting_to, 800.0, 1.0)
+    choice.record_success(connecting_to)
+    assert choice.best(800.0) == C
+
+
+def test_without_any_controller_the_router_waits():
+    choice = ControllerChoice("edge-1", "c", [])
+    assert choice.best(0.0) is None and choice.retry_delay_s(0.0, 0.0) > 0
+
+
 def test_another_controller_is_available_only_after_its_backoff():
     choice = ControllerChoice("edge-1", "z", [A, B])
     assert choice.is_other_available(A, 0.0)
--- a/tests/control_plane/feed/test_feed.py
+++ b/tests/control_plane/feed/test_feed.py
@@ -9,8 +9,9 @@
 
 from ochrespan.control_plane.feed.client import FeedClient
 from ochrespan.control_plane.feed.controller_choice import ControllerChoice
+from ochrespan.control_plane.feed.draft_table import DraftTable
 from ochrespan.control_plane.feed.errors import OtherClusterError
-from ochrespan.control_plane.feed.messages import ControllerReport, Freshness, Subscribe
+from ochrespan.control_plane.feed.messages import ControllerReport, FeedSnapshot, Freshness, Subscribe
 from ochrespan.control_plane.feed.progress import ProgressRecorder
 from ochrespan.control_plane.feed.server import FeedServer
 from ochrespan.control_plane.feed.table import FleetChange, FleetTable
@@ -414,3 +415,20 @@
     farther.put_config(configuration(6), 5)
     router.wait(lambda table: table.version == 6)
     assert not not_current
+
+
+def test_a_fault_in_a_message_does_not_end_the_feed(world, routers, monkeypatch, caplog):
+    apply_snapshot = DraftTable.apply_snapshot
+    failures = [KeyError("a fault of the program")]
+
+    def fail_first(draft: DraftTable, snapshot: FeedSnapshot, now: float) -> None:
+        if failures:
+            raise failures.pop()
+        apply_snapshot(draft, snapshot, now)
+
+    monkeypatch.setattr(DraftTable, "apply_snapshot", fail_first)
+    world.controllers[0].put_config(configuration(5), 0)
+    router = Router(world)
+    routers.append(router)
+    router.wait(lambda table: table.version == 5)
+    assert "feed failed, continuing" in caplog.text and "a fault of the program" in caplog.text
