SIGHUP while a program of the fleet starts no longer ends it

Change: controller and router ignore the signal from their first statement until the handler is there, and import nothing large before. The settings are read after that, so no change is missed; the file is polled besides. The controller is split like the router, into a small module behind 'python -m' and controller_process; two tests import from the new name, nothing else in them changed. A signal before the first statement of Python still ends the process (some 20 ms of interpreter start).

--- a/ochrespan/programs/early_listener.py
+++ b/ochrespan/programs/early_listener.py
@@ -9,8 +9,6 @@
 import os
 import socket
 
-import yaml
-
 SETTINGS_VARIABLE = "OCHRESPAN_SETTINGS"
 BACKLOG = 1024  # connections; the kernel caps it at net.core.somaxconn
 
@@ -21,6 +19,8 @@
     Returns:
         None if the settings name no usable address, or if it cannot be bound.
     """
+    import yaml  # here, since the program ignores SIGHUP from its first statement on, and imports little before
+
     try:
         with open(os.environ[SETTINGS_VARIABLE], encoding="utf-8") as file:
             settings = yaml.load(file, Loader=getattr(yaml, "CSafeLoader", yaml.SafeLoader))
--- a/ochrespan/programs/router.py
+++ b/ochrespan/programs/router.py
@@ -10,6 +10,7 @@
 import sys
 
 from .early_listener import open_front
+from .reload_signal import ignore_until_handled
 
 
 def main() -> int:
@@ -18,6 +19,7 @@
     Garbage collection is disabled during the imports, because the objects that they create live as long as the process;
     this saves a tenth of the start-up time. The objects are then frozen, so that later collections skip them.
     """
+    ignore_until_handled()
     gc.disable()
     listener = open_front()
     from .router_process import run  # after the listener is open: this import takes most of the start-up time
--- a/tests/golden/test_settings_findings.py
+++ b/tests/golden/test_settings_findings.py
@@ -22,7 +22,7 @@
     read_json,
 )
 from ochrespan.control_plane.quota.allocation import quota_bounds
-from ochrespan.programs import controller, router_process
+from ochrespan.programs import controller_process, router_process
 from ochrespan.programs.settings import Settings, parse_settings, read_settings, secure_peers, settings_path
 from tests.support.control_plane_world import configuration, instance, route, service, tenant
 
@@ -200,8 +200,8 @@
     broken = {"certificate": "/nowhere/a.pem", "key": "/nowhere/b.pem", "authority": "/nowhere/c.pem"}
     with_tls = parse_settings(yaml.safe_dump({**LEAST_SETTINGS, "peer_tls": broken}), PLACE)
     assert {
-        "folder of a controller": findings_of(lambda: controller.host_settings(settings)),
-        "address of a controller": findings_of(lambda: controller.control_address(settings)),
+        "folder of a controller": findings_of(lambda: controller_process.host_settings(settings)),
+        "address of a controller": findings_of(lambda: controller_process.control_address(settings)),
         "front of a router": findings_of(lambda: router_process.listen_address(settings, "front")),
         "platform's address of a router": findings_of(lambda: router_process.listen_address(settings, "ready")),
         "files for TLS": findings_of(lambda: secure_peers(with_tls)),
@@ -230,10 +230,10 @@
 def read_by_controller(settings: dict[str, Any]) -> dict[str, Any]:
     """What a controller takes from its settings, by the keys of the settings."""
     parts = ("ReplicaHost", "ControllerNode", "MembershipAgent")
-    with patch.multiple(controller, **{part: MagicMock() for part in parts}):
-        controller.Controller(settings)
-        node, _ = controller.ControllerNode.call_args.args
-    host = controller.host_settings(settings)
+    with patch.multiple(controller_process, **{part: MagicMock() for part in parts}):
+        controller_process.Controller(settings)
+        node, _ = controller_process.ControllerNode.call_args.args
+    host = controller_process.host_settings(settings)
     return {
         "ip and port_range": host.address,
         "seeds": host.seeds,
--- a/tests/programs/test_settings.py
+++ b/tests/programs/test_settings.py
@@ -8,7 +8,7 @@
 
 from ochrespan.common.validation import ValidationError
 from ochrespan.membership.peer_addresses import peer_address, seed_peer_addresses
-from ochrespan.programs.controller import control_address, host_settings
+from ochrespan.programs.controller_process import control_address, host_settings
 from ochrespan.programs.settings import SettingsFile, bound_value, parse_settings, read_settings, settings_path
 
 GOOD = {
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -31,7 +31,7 @@
     (f"{CONTROL}.control_state",),
     (f"{CONTROL}.controller_metrics",),
     (f"{CONTROL}.controller", "ochrespan.data_plane"),
-    (f"{PROGRAMS}.early_listener", f"{PROGRAMS}.errors"),
+    (f"{PROGRAMS}.early_listener", f"{PROGRAMS}.errors", f"{PROGRAMS}.reload_signal"),
     (f"{PROGRAMS}.settings",),
     (f"{PROGRAMS}.fleetctl_commands",),
     (PROGRAMS,),
