The offset that a controller tells never runs ahead of the state behind it

test_the_applied_index_moves_only_when_.. and test_a_router_is_told_no_offset_before_.. fail on the parent and pass now; tests/raft and tests/control_plane/replication pass.

--- a/ochrespan/control_plane/feed/server.py
+++ b/ochrespan/control_plane/feed/server.py
@@ -136,8 +136,9 @@
         """Sends one round of freshness messages; drops subscribers whose connections are closed."""
         for connection in [each for each in self._subscribers if each.closed]:
             self._drop(connection)
-        # Routers take all changes up to the offsets in a freshness message as received, so batches are sent first.
+        # Routers take all changes up to the offsets in a freshness message as received, so what is pending goes first.
         for shard in self._histories:
+            self._finish_restore(shard)
             self._send_batch(shard)
         self._update_live_routers()
         freshness = self._freshness()
--- a/ochrespan/raft/replica.py
+++ b/ochrespan/raft/replica.py
@@ -128,7 +128,7 @@
         state = self.state
         state.now = now
         state.install(Snapshot(0, 0, configuration, b""))
-        state.restored = None
+        state.take_restored()  # the state machine is empty already
         state.set_bootstrap_deadline()
         self.tick(now)
 
@@ -267,13 +267,16 @@
 
     def take_restored(self) -> Snapshot | None:
         """A snapshot that the state machine has to load before it applies further entries."""
-        restored = self.state.restored
-        self.state.restored = None
-        return restored
+        return self.state.take_restored()
 
     def take_committed(self) -> list[tuple[int, Entry]]:
-        """Committed entries that the state machine has not received yet, in order, each with its index."""
+        """Committed entries that the state machine has not received yet, in order, each with its index.
+
+        None while there is a snapshot to load first, see `take_restored`.
+        """
         state = self.state
+        if state.restored is not None:
+            return []
         first = state.applied_index + 1
         committed = [(index, state.log.entry(index)) for index in range(first, state.commit_index + 1)]
         state.applied_index = max(state.applied_index, state.commit_index)
--- a/ochrespan/raft/state.py
+++ b/ochrespan/raft/state.py
@@ -221,13 +221,23 @@
             self.on_step_down()
 
     def install(self, snapshot: Snapshot) -> None:
-        """Replaces the log and the state machine's state by a snapshot."""
+        """Replaces the log by a snapshot, which the state machine has to load.
+
+        `applied_index` follows when the state machine takes it: until then the machine has the state before.
+        """
         self.log.reset(snapshot)
         self._snapshot_dirty = True
         self.commit_index = max(self.commit_index, snapshot.index)
-        self.applied_index = snapshot.index
         self.restored = snapshot
 
+    def take_restored(self) -> Snapshot | None:
+        """A snapshot that the state machine has to load before it applies further entries."""
+        restored = self.restored
+        self.restored = None
+        if restored is not None:
+            self.applied_index = restored.index
+        return restored
+
     # Writes
 
     def needs_write(self) -> bool:
--- a/tests/control_plane/feed/test_feed.py
+++ b/tests/control_plane/feed/test_feed.py
@@ -1,6 +1,7 @@
 """The change feed over loopback: controllers that share an in-memory log, and the routers that follow them."""
 
 from collections.abc import Callable
+from typing import Any
 
 import gevent
 import pytest
@@ -432,3 +433,30 @@
     routers.append(router)
     router.wait(lambda table: table.version == 5)
     assert "feed failed, continuing" in caplog.text and "a fault of the program" in caplog.text
+
+
+def test_a_router_is_told_no_offset_before_the_state_that_belongs_to_it(world, routers, monkeypatch):
+    leader, behind = world.controllers[0], world.controllers[1]
+    leader.put_config(configuration(5), 0)
+    router = Router(world, first=1)
+    routers.append(router)
+    router.wait(lambda table: table.version == 5)
+    told: list[tuple[int, int]] = []  # offset of the configuration's shard and version, after each freshness message
+    advance_offsets = DraftTable.advance_offsets
+
+    def record_offset(draft: DraftTable, *arguments: Any) -> None:
+        advance_offsets(draft, *arguments)
+        told.append((draft.offsets[0], draft.table.version))
+
+    monkeypatch.setattr(DraftTable, "advance_offsets", record_offset)
+    del world.log.members[behind.groups.address]  # it gets the following command by a snapshot only
+    leader.put_config(configuration(6), 5)
+    behind.state.configuration.restore(leader.state.configuration.snapshot())
+    behind.groups.applied[0] = leader.groups.applied[0]
+    behind.node.restored(0)
+    behind.node._feed.send_freshness()  # before the greenlet that sends the snapshot has run
+    router.wait(lambda table: table.version == 6)
+    with gevent.Timeout(WAIT_TIMEOUT_S):
+        while not told:
+            gevent.sleep(0.01)
+    assert set(told) == {(leader.groups.applied[0], 6)}
--- a/tests/raft/test_snapshot_transfer.py
+++ b/tests/raft/test_snapshot_transfer.py
@@ -230,3 +230,13 @@
             transfer_retained_bytes=transfer_retained_bytes,
         )
         assert log.first_index == first
+
+
+def test_the_applied_index_moves_only_when_the_state_machine_takes_the_snapshot():
+    learner = Replica(ReplicaSettings(0, LEARNER, 1), PersistentState(), random.Random(1), 0.0)
+    configuration = MembershipConfig.of([Member(LEADER, ("10.0.0.1", 1))])
+    learner.receive(0.0, LEADER, InstallSnapshot(1, 1000, 1, configuration.to_bytes(), 0, 5, b"state", 0.0))
+    assert learner.state.commit_index == 1000
+    assert learner.state.applied_index == 0 and learner.take_committed() == []
+    assert learner.take_restored().data == b"state"
+    assert learner.state.applied_index == 1000
--- a/tests/support/raft_simulation/search.py
+++ b/tests/support/raft_simulation/search.py
@@ -227,6 +227,7 @@
     def _check(self) -> None:
         for replica_id, replica in self.replicas.items():
             raft_state = replica.state
+            replica.take_restored()
             for index, entry in replica.take_committed():
                 known = self.committed.setdefault(index, (entry.term, entry.data))
                 if known != (entry.term, entry.data):
