--- a/tests/support/fleet_processes/faults.py
+++ b/tests/support/fleet_processes/faults.py
@@ -5,7 +5,6 @@
 import heapq
 import http.client
 import itertools
-import json
 import random
 import signal
 from collections.abc import Callable
@@ -288,27 +287,7 @@
     # State of the fleet
 
     def _tolerates_loss(self) -> bool:
-        """Whether the leader of every shard knows that one more voter may fail."""
-        tolerant: set[int] = set()
-        shards: set[int] = set()
-        for member in self.fleet.controllers.values():
-            if member.process is None or member.name in self._busy_controllers:
-                continue
-            for shard in self._shards_of(member):
-                shards.add(shard["shard"])
-                if shard["leads"] and shard["bearable_losses"]:
-                    tolerant.add(shard["shard"])
-        return bool(shards) and tolerant == shards
-
-    def _shards_of(self, member: FleetProcess) -> list[dict]:
-        connection = http.client.HTTPConnection(member.ip, self.fleet.ports.control, timeout=STATUS_TIMEOUT_S)
-        try:
-            connection.request("GET", "/api/status")
-            return json.loads(connection.getresponse().read())["shards"]
-        except (OSError, http.client.HTTPException):
-            return []
-        finally:
-            connection.close()
+        return self.fleet.tolerates_loss(self._busy_controllers)
 
     def _update_majority(self) -> None:
         """Notes since when two controllers have had faults together, until every shard tolerates a loss again."""
@@ -353,9 +332,7 @@
     observer = Observer(fleet, operator)
     run = FaultRun(fleet, seed, is_harsh)
     try:
-        fleet.start_all()
-        operator.start()
-        _wait_for_tables(fleet)
+        start_fleet(fleet, operator)
         _mark_starts(fleet, run.troubles)
         observer.start()
         run.run(seconds)
@@ -373,7 +350,10 @@
     return RunResult(violations, problems, len(operator.acknowledgements), len(observer.samples), bounded, run.log)
 
 
-def _wait_for_tables(fleet: Fleet) -> None:
+def start_fleet(fleet: Fleet, operator: Operator) -> None:
+    """Starts every process and the operator, and waits until the routers are ready."""
+    fleet.start_all()
+    operator.start()
     deadline = monotonic() + STARTUP_TIMEOUT_S
     for router in fleet.routers.values():
         while monotonic() < deadline:
--- a/tests/support/fleet_processes/fleet.py
+++ b/tests/support/fleet_processes/fleet.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import os
 import signal
 import socket
 import subprocess
 import sys
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from pathlib import Path
+from time import monotonic, sleep
 from typing import Any
 
 from .launch import FILE_VARIABLE, IP_VARIABLE
@@ -28,6 +31,8 @@
     "quota_overshoot": 0.1,
     "quota_slack": 190000,
 }
+STATUS_TIMEOUT_S = 0.4
+STATUS_INTERVAL_S = 0.1
 BACKLOG_CONNECTIONS = 2  # enough to fill the smallest backlog
 
 
@@ -186,6 +191,40 @@
         """The log of a process over all its lives."""
         return self.folder / f"{name}.log"
 
+    # State
+
+    def tolerates_loss(self, without: Collection[str] = ()) -> bool:
+        """Whether the leader of every shard knows that one more voter may fail; asks no controller in `without`."""
+        tolerant: set[int] = set()
+        shards: set[int] = set()
+        for member in self.controllers.values():
+            if member.process is None or member.name in without:
+                continue
+            for shard in self._shards_of(member):
+                shards.add(shard["shard"])
+                if shard["leads"] and shard["bearable_losses"]:
+                    tolerant.add(shard["shard"])
+        return bool(shards) and tolerant == shards
+
+    def wait_until_loss_is_tolerated(self, timeout_s: float) -> None:
+        """Waits until one more controller may be lost; raises TimeoutError."""
+        deadline = monotonic() + timeout_s
+        while not self.tolerates_loss():
+            if monotonic() > deadline:
+                raise TimeoutError("a replaced controller has not joined every group")
+            sleep(STATUS_INTERVAL_S)
+
+    def _shards_of(self, member: FleetProcess) -> list[dict[str, Any]]:
+        connection = http.client.HTTPConnection(member.ip, self.ports.control, timeout=STATUS_TIMEOUT_S)
+        try:
+            connection.request("GET", "/api/status")
+            shards: list[dict[str, Any]] = json.loads(connection.getresponse().read())["shards"]
+            return shards
+        except (OSError, http.client.HTTPException):
+            return []
+        finally:
+            connection.close()
+
     # Links
 
     def cut(self, first: FleetProcess, second: FleetProcess) -> None:
