A malformed runtime of a service is refused, and a stored one stops no router

Cause: runtime was the one field of a service without a check, and the data plane read it as an object: table_changed failed before the pools and the scheduler got any server, and the failed change was joined to each later one.

Change: runtime is checked as an object of numbers and models, unknown fields allowed; the view that routers use takes only numbers from it, so a document that was stored before the check limits nothing and fails nothing.

--- a/ochrespan/control_plane/config/documents.py
+++ b/ochrespan/control_plane/config/documents.py
@@ -89,6 +89,24 @@
     gap_aim_ms: NotRequired[Annotated[float | None, optional(_MILLISECONDS)]]
 
 
+class ModelDocument(TypedDict):
+    """A model that a server has loaded."""
+
+    name: Annotated[str, text(0)]
+    generation: NotRequired[Annotated[int | None, optional(_COUNT)]]
+
+
+class RuntimeDocument(TypedDict, total=False):
+    """What the servers of a service can hold and run at the same time."""
+
+    capacity: NotRequired[Annotated[int | None, optional(_COUNT)]]
+    kv_tokens: NotRequired[Annotated[float | None, optional(number())]]
+    kv_bytes: NotRequired[Annotated[float | None, optional(number())]]
+    link_mbps: NotRequired[Annotated[float | None, optional(number())]]
+    stride: NotRequired[Annotated[float | None, optional(number())]]
+    models: NotRequired[Annotated[list[ModelDocument] | None, optional(list_of(typed_dict(ModelDocument)))]]
+
+
 class ServiceDocument(TypedDict):
     """A service that servers register for."""
 
@@ -97,7 +115,7 @@
     max_connections: NotRequired[Annotated[int | None, optional(_COUNT)]]
     protocol: NotRequired[Annotated[str | None, optional(text(0))]]
     tls: NotRequired[Annotated[bool | None, optional(flag)]]
-    runtime: NotRequired[dict[str, Any] | None]
+    runtime: NotRequired[Annotated[RuntimeDocument | None, optional(typed_dict(RuntimeDocument))]]
 
 
 class TenantDocument(TypedDict):
@@ -211,13 +229,6 @@
     delete: NotRequired[Annotated[Deletions | None, optional(typed_dict(Deletions))]]
 
 
-class ModelDocument(TypedDict):
-    """A model that a server has loaded."""
-
-    name: Annotated[str, text(0)]
-    generation: NotRequired[Annotated[int | None, optional(_COUNT)]]
-
-
 class InstanceDocument(TypedDict):
     """The body of `PUT /api/instances/ID`."""
 
--- a/ochrespan/control_plane/config/views.py
+++ b/ochrespan/control_plane/config/views.py
@@ -15,6 +15,7 @@
 DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
 DEFAULT_HEADER_TIMEOUT_MS = 3_000.0
 DEFAULT_IDLE_TIMEOUT_MS = 15_000.0
+RUNTIME_LIMITS = ("capacity", "kv_tokens")
 LOWEST_PRIORITY = 9  # 0 is the highest
 
 
@@ -67,7 +68,7 @@
     name: str
     health_check: str | None
     max_connections: int | None
-    runtime: Mapping[str, Any]
+    runtime: Mapping[str, int | float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,7 +127,7 @@
 
 def service_view(document: Mapping[str, Any]) -> Service:
     """Returns the view of a checked service document."""
-    runtime = document.get("runtime") or {}
+    runtime = _runtime_limits(document.get("runtime"))
     return Service(document["name"], document.get("health_check"), document.get("max_connections"), runtime)
 
 
@@ -149,6 +150,18 @@
     return ClientLimits(**{name: given[name] for name in ClientLimits.__dataclass_fields__ if given.get(name)})
 
 
+def _runtime_limits(runtime: Any) -> Mapping[str, int | float]:
+    """The limits in a service's runtime; stored documents may be older than its check, and have anything there."""
+    if not isinstance(runtime, Mapping):
+        return {}
+    limits: dict[str, int | float] = {}
+    for name in RUNTIME_LIMITS:
+        value = runtime.get(name)
+        if isinstance(value, int | float) and not isinstance(value, bool):
+            limits[name] = value
+    return limits
+
+
 def _route_type(text: str | None) -> RouteType:
     try:
         return RouteType(text or RouteType.UNSAFE)
--- a/tests/control_plane/config/test_configuration.py
+++ b/tests/control_plane/config/test_configuration.py
@@ -11,6 +11,7 @@
 from ochrespan.common.validation import ValidationError
 from ochrespan.control_plane.config.configuration import Configuration, change_of_patch, change_to
 from ochrespan.control_plane.config.documents import CHECK_CONFIGURATION, CHECK_INSTANCE, CHECK_PATCH, read_json
+from ochrespan.control_plane.config.views import service_view
 from tests.support.control_plane_world import configuration, instance, route, service, tenant
 
 
@@ -59,6 +60,10 @@
         (configuration(1, tenants=[tenant("t", "k"), tenant("u", "k")]), "tenants.u.api_keys[0]"),
         (configuration(1, tenants=[tenant("t", "k", rate_per_s=-1)]), "tenants[0].rate_per_s"),
         (configuration(1, tenants=[tenant("t", "k\r\nX: y")]), "tenants[0].api_keys[0]"),
+        (configuration(1, services=[service(runtime=[{"capacity": 4}])]), "services[0].runtime"),
+        (configuration(1, services=[service(runtime={"capacity": "4"})]), "services[0].runtime.capacity"),
+        (configuration(1, services=[service(runtime={"kv_tokens": -1})]), "services[0].runtime.kv_tokens"),
+        (configuration(1, services=[service(runtime={"models": "m"})]), "services[0].runtime.models"),
         (configuration(1, limits={"max_body_bytes": "4"}), "limits.max_body_bytes"),
         (configuration(0), "generation"),
         (configuration(1.5), "generation"),
@@ -191,3 +196,14 @@
     with pytest.raises(ValidationError) as caught:
         read_json(json.dumps({**instance(1), **fields}).encode(), CHECK_INSTANCE)
     assert next(iter(fields)) in caught.value.findings[0].where
+
+
+@pytest.mark.parametrize("runtime", [None, [], "x", 5, {"capacity": "4", "kv_tokens": [1]}, {"capacity": True}])
+def test_a_stored_runtime_from_before_its_check_limits_nothing(runtime):
+    assert service_view(service(runtime=runtime)).runtime == {}
+
+
+def test_a_runtime_limits_capacity_and_tokens():
+    runtime = {"capacity": 4, "kv_tokens": 4096.5, "kv_bytes": 35136.0, "stride": 3, "models": [{"name": "m"}], "x": []}
+    assert applied(configuration(1, services=[service(runtime=runtime)])).version == 1
+    assert service_view(service(runtime=runtime)).runtime == {"capacity": 4, "kv_tokens": 4096.5}
