A tenant whose name has letters outside of latin-1 is served

Cause: the name is sent in X-Tenant, and a request's head was encoded as latin-1, which has no such letter. Nor was a name checked for what may stand in a header: one with a line end would have added a header field.

Change: the name is sent as UTF-8; the bytes of the client's own headers are passed on as before. Names with control characters, lone surrogates, or spaces at their ends are refused as invalid.

--- a/ochrespan/control_plane/config/documents.py
+++ b/ochrespan/control_plane/config/documents.py
@@ -39,6 +39,7 @@
 _NAME = text(1, 1024)
 _DIGEST = re.compile(rf"[0-9a-f]{{{2 * DIGEST_BYTES}}}")
 _PRINTABLE = re.compile(r"[\x21-\x7e]+")
+_NOT_IN_HEADER = re.compile(r"[\x00-\x1f\x7f\ud800-\udfff]")  # control characters and lone surrogates
 
 
 def _path_prefix(value: Any, where: str, findings: Findings) -> None:
@@ -51,6 +52,14 @@
         add_finding(findings, where, show(value), "a key of printable ASCII characters")
 
 
+def _tenant_name(value: Any, where: str, findings: Findings) -> None:
+    """Checks a name that is sent in a header field, as UTF-8."""
+    before = findings.total
+    _NAME(value, where, findings)
+    if findings.total == before and (_NOT_IN_HEADER.search(value) or value != value.strip()):
+        add_finding(findings, where, show(value), "a name without control characters, or spaces at its ends")
+
+
 def _digest(value: Any, where: str, findings: Findings) -> None:
     if not isinstance(value, str) or not _DIGEST.fullmatch(value):
         add_finding(findings, where, show(value), f"{2 * DIGEST_BYTES} hexadecimal digits")
@@ -121,7 +130,7 @@
 class TenantDocument(TypedDict):
     """A tenant, its API keys and its quota; `rate_per_s` and `burst` are in requests or tokens, by `unit`."""
 
-    name: Annotated[str, _NAME]
+    name: Annotated[str, _tenant_name]
     api_keys: Annotated[list[str], list_of(_api_key)]
     priority: NotRequired[Annotated[int | None, optional(_COUNT)]]
     unit: NotRequired[Annotated[str | None, optional(text(0))]]
--- a/ochrespan/data_plane/server_request.py
+++ b/ochrespan/data_plane/server_request.py
@@ -35,7 +35,7 @@
             elif key not in _NOT_SENT and key not in connection_options:
                 lines.append(f"{name}: {value}")
         if tenant is not None:
-            lines.append(f"X-Tenant: {tenant}")
+            lines.append(f"X-Tenant: {_as_header_value(tenant)}")
         if body or head.content_length is not None or head.chunked:
             lines.append(f"Content-Length: {len(body)}")
         self._prefix = "\r\n".join(lines)
@@ -53,6 +53,11 @@
         return text.encode("latin-1") + self._body
 
 
+def _as_header_value(text: str) -> str:
+    """The UTF-8 bytes of a text as characters, since a request's head is encoded as latin-1."""
+    return text.encode("utf-8", errors="replace").decode("latin-1")
+
+
 def end_to_end_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
     """Returns the headers of a response without the hop-by-hop ones."""
     return [header for header in headers if header[0].lower() not in _HOP_BY_HOP]
--- a/tests/control_plane/config/test_configuration.py
+++ b/tests/control_plane/config/test_configuration.py
@@ -60,6 +60,10 @@
         (configuration(1, tenants=[tenant("t", "k"), tenant("u", "k")]), "tenants.u.api_keys[0]"),
         (configuration(1, tenants=[tenant("t", "k", rate_per_s=-1)]), "tenants[0].rate_per_s"),
         (configuration(1, tenants=[tenant("t", "k\r\nX: y")]), "tenants[0].api_keys[0]"),
+        (configuration(1, tenants=[tenant("t\r\nX: y", "k")]), "tenants[0].name"),
+        (configuration(1, tenants=[tenant("\ud800", "k")]), "tenants[0].name"),
+        (configuration(1, tenants=[tenant(" t", "k")]), "tenants[0].name"),
+        (configuration(1, tenants=[tenant(7, "k")]), "tenants[0].name"),
         (configuration(1, services=[service(runtime=[{"capacity": 4}])]), "services[0].runtime"),
         (configuration(1, services=[service(runtime={"capacity": "4"})]), "services[0].runtime.capacity"),
         (configuration(1, services=[service(runtime={"kv_tokens": -1})]), "services[0].runtime.kv_tokens"),
@@ -203,6 +207,10 @@
     assert service_view(service(runtime=runtime)).runtime == {}
 
 
+def test_a_tenant_may_have_a_name_with_letters_of_any_script():
+    assert applied(configuration(1, tenants=[tenant("Cēsis", "k"), tenant("Старый город", "l")])).version == 1
+
+
 def test_a_runtime_limits_capacity_and_tokens():
     runtime = {"capacity": 4, "kv_tokens": 4096.5, "kv_bytes": 35136.0, "stride": 3, "models": [{"name": "m"}], "x": []}
     assert applied(configuration(1, services=[service(runtime=runtime)])).version == 1
