A late heartbeat of an expired server no longer displaces the one at its address

Cause: an expired incarnation may return by a newer report, and whichever reports last at an address replaced the other one there. But one that registers at the address of an expired one is the newer of the two.

Change: an expired incarnation is not registered again at an address that another one holds. The state machine decides so, at every replica alike; while versions are mixed, replicas may differ on such a report until all run this one.

Open: a first report that arrives after the next incarnation's still displaces it.

--- a/ochrespan/control_plane/registry/state_machine.py
+++ b/ochrespan/control_plane/registry/state_machine.py
@@ -1,7 +1,8 @@
 """The state machine of an instance shard: which incarnations of servers are registered, draining or removed.
 
 A draining incarnation does not become ready again, and a removed one is not registered again. An incarnation that
-expired because its heartbeats timed out is registered again by a report with a higher sequence number.
+expired because its heartbeats timed out is registered again by a report with a higher sequence number, unless another
+one has been registered at its address.
 """
 
 from __future__ import annotations
@@ -99,7 +100,8 @@
         """Returns whether a report would change the state.
 
         It must be newer than the known record, must not turn a draining incarnation ready again, and must not
-        register an incarnation whose removal is final.
+        register an incarnation whose removal is final. An incarnation that expired is not registered again at an
+        address where another one has been registered since: that one is newer.
         """
         known = self.records.get(record.id)
         if known is not None:
@@ -108,6 +110,8 @@
         removal = self._removals.get(record.id)
         if removal is None:
             return True
+        if record.address in self._ids_by_address:
+            return False
         returns_to_ready = removal.was_draining and record.state == InstanceState.READY
         return not removal.is_final and record.sequence > removal.sequence and not returns_to_ready
 
--- a/tests/control_plane/registry/test_instances.py
+++ b/tests/control_plane/registry/test_instances.py
@@ -81,6 +81,17 @@
     assert register(machine, "i1", 9, "draining").upserted
 
 
+def test_a_late_report_of_an_expired_instance_does_not_displace_the_one_registered_at_its_address_since():
+    machine = InstanceStateMachine()
+    register(machine, "crashed", 5)
+    expire(machine, crashed=5)
+    register(machine, "restarted", 1)
+    assert register(machine, "crashed", 6) == NO_CHANGE
+    assert register(machine, "restarted", 2, capacity=16).upserted
+    assert register(machine, "crashed", 7, address="10.0.0.8:1").upserted
+    assert set(machine.records) == {"crashed", "restarted"}
+
+
 def test_an_expired_instance_that_is_removed_does_not_return():
     machine = InstanceStateMachine()
     register(machine, "i1", 5)
