--- a/benchmarks/soak_feed.py
+++ b/benchmarks/soak_feed.py
@@ -10,13 +10,15 @@
 import shutil
 import sys
 import tempfile
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from pathlib import Path
 from time import monotonic
 
 import defopt
 
-from tests.support.fleet_processes.faults import play, report
+from tests.support.fleet_processes.faults import RunResult, play, report
 
 FIRST_NET = 70  # of the loopback addresses 127.NET.*, one for each fleet that runs at the same time
 
@@ -28,6 +30,7 @@
     seconds: float = 40.0,
     parallel: int = 4,
     harsh: bool = False,
+    routers_per_zone: int = 2,
     keep: Path | None = None,
 ) -> int:
     """Plays seeds, several at the same time.
@@ -37,20 +40,23 @@
     :param seconds: time with faults of each seed
     :param parallel: fleets that run at the same time
     :param harsh: two controllers may have faults at the same time
+    :param routers_per_zone: routers in each of three zones
     :param keep: folder for the logs of the runs that fail
     """
     started_at = monotonic()
     with ThreadPoolExecutor(parallel) as executor:
         seeds = range(first, first + count)
-        failures = sum(executor.map(lambda seed: _play(seed, parallel, seconds, harsh, keep), seeds))
+        play_seed = partial(play, seconds=seconds, is_harsh=harsh, routers_per_zone=routers_per_zone)
+        failures = sum(
+            executor.map(lambda seed: _play(seed, play_seed, FIRST_NET + seed % (parallel * 4), keep), seeds)
+        )
     print(f"seeds={count} failed={failures} seconds={monotonic() - started_at:.1f}")
     return 1 if failures else 0
 
 
-def _play(seed: int, parallel: int, seconds: float, harsh: bool, keep: Path | None) -> bool:
+def _play(seed: int, play_seed: Callable[..., RunResult], net: int, keep: Path | None) -> bool:
     with tempfile.TemporaryDirectory(prefix="soak-feed-") as folder:
-        net = FIRST_NET + seed % (parallel * 4)
-        result = play(Path(folder), net, seed, seconds, is_harsh=harsh)
+        result = play_seed(Path(folder), net, seed)
         text = report(seed, result)
         print(text, flush=True)
         failed = bool(result.violations or result.problems)
--- a/tests/support/fleet_processes/faults.py
+++ b/tests/support/fleet_processes/faults.py
@@ -19,6 +19,7 @@
 
 STARTUP_TIMEOUT_S = 30.0
 STEP_S = 0.05
+LAUNCH_S = 1.0  # in which a SIGHUP may still end the launcher, before the program has begun
 STATUS_TIMEOUT_S = 0.4
 SEED_LAG_S = 3.0  # between the replacement of a controller and the change of the settings, at most
 SETTLE_S = 2 * CONTACT_S + 1.0
@@ -268,6 +269,8 @@
         self._after(self._random.uniform(0.5, 8.0), recover)
 
     def _reload_router(self, member: FleetProcess) -> None:
+        if monotonic() - member.started_at < LAUNCH_S:
+            return
         self._note(f"{member.name} reloads its settings")
         for _ in range(self._random.randint(1, 3)):
             self.fleet.signal(member, signal.SIGHUP)
@@ -325,9 +328,11 @@
         self.log.append(f"{monotonic() - self._started_at:7.3f} {text}")
 
 
-def play(folder: Path, net: int, seed: int, seconds: float, is_harsh: bool = False) -> RunResult:
+def play(
+    folder: Path, net: int, seed: int, seconds: float, *, is_harsh: bool = False, routers_per_zone: int = 2
+) -> RunResult:
     """Runs a fleet with faults for `seconds`, lets it settle, and checks what its routers held all along."""
-    fleet = Fleet(folder, net)
+    fleet = Fleet(folder, net, routers_per_zone)
     operator = Operator(fleet, seed)
     observer = Observer(fleet, operator)
     run = FaultRun(fleet, seed, is_harsh)
--- a/tests/support/fleet_processes/fleet.py
+++ b/tests/support/fleet_processes/fleet.py
@@ -57,6 +57,7 @@
         is_controller: Whether it is a controller.
         process: The running process; None while it is stopped.
         starts: How often it was started.
+        started_at: When it was last started, in seconds of the monotonic clock.
     """
 
     name: str
@@ -65,6 +66,7 @@
     is_controller: bool
     process: subprocess.Popen[bytes] | None = None
     starts: int = 0
+    started_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -161,6 +163,7 @@
                 stderr=log,
             )
         member.starts += 1
+        member.started_at = monotonic()
 
     def kill(self, member: FleetProcess) -> None:
         """Ends a process at once."""
