A fault of the program in a step of the membership protocol no longer ends it for good

Cause: the loop caught nothing, though it calls what follows the membership (feed, router count). Change: it logs 'membership step failed, continuing' with the trace and goes on with the next step.

--- a/ochrespan/membership/agent.py
+++ b/ochrespan/membership/agent.py
@@ -100,12 +100,18 @@
 
     def _run(self) -> None:
         while True:
-            self._protocol.tick(time.monotonic())
-            self._send_messages()
-            self._notify_of_change()
+            try:
+                self._step()
+            except Exception:  # noqa: BLE001 - whatever fails, without this loop the process would be taken for dead
+                log.exception("membership step failed, continuing")
             self._wake.clear()
             self._wake.wait(max(MIN_WAIT_S, self._protocol.next_tick_at - time.monotonic()))
 
+    def _step(self) -> None:
+        self._protocol.tick(time.monotonic())
+        self._send_messages()
+        self._notify_of_change()
+
     def _received(self, datagram: SwimDatagram, peer: Address) -> None:
         try:
             value = unpack(datagram)
--- a/tests/membership/test_agent.py
+++ b/tests/membership/test_agent.py
@@ -50,3 +50,24 @@
     until(lambda: [member.node for member in agents[0].alive("router")] == ["node-2"], "end of a member")
     for agent in agents[:2]:
         agent.stop()
+
+
+def test_a_fault_in_a_step_does_not_end_the_protocol(monkeypatch, caplog):
+    port = free_port()
+    agent = MembershipAgent(MembershipSettings(("127.0.0.1", port), (), "router", "hall-a", "edge-1"), lambda: None)
+    tick = agent._protocol.tick
+    ticks: list[float] = []
+
+    def fail_first(now: float) -> None:
+        ticks.append(now)
+        if len(ticks) == 1:
+            raise KeyError("a fault of the program")
+        tick(now)
+
+    monkeypatch.setattr(agent._protocol, "tick", fail_first)
+    agent.start()
+    try:
+        until(lambda: len(ticks) > 1, "a step after the one that failed")
+    finally:
+        agent.stop()
+    assert "membership step failed, continuing" in caplog.text
