A fault while changed settings are applied no longer ends the watch of the settings file

Callers would see a process that keeps outdated seeds for the rest of its life: once all of them are replaced, a router finds no controller after its next loss of a feed.

Change: the watch logs 'settings change failed, continuing' with the trace, and applies the next change of the file.

test_a_change_that_fails_to_apply_does_not_end_the_watch fails on the parent and passes now.

--- a/ochrespan/programs/settings.py
+++ b/ochrespan/programs/settings.py
@@ -268,7 +268,10 @@
         """Polls the file for changes until the greenlet is killed."""
         while True:
             gevent.sleep(RELOAD_INTERVAL_S)
-            self.poll()
+            try:
+                self.poll()
+            except Exception:  # noqa: BLE001 - whatever fails, without this loop no later change would be noticed
+                log.exception("settings change failed, continuing")
 
     def poll(self) -> None:
         """Reloads the file if it has changed."""
--- a/tests/programs/test_settings.py
+++ b/tests/programs/test_settings.py
@@ -3,6 +3,7 @@
 import logging
 import os
 
+import gevent
 import pytest
 import yaml
 
@@ -121,6 +122,29 @@
     assert len(reloaded) == 2
 
 
+def test_a_change_that_fails_to_apply_does_not_end_the_watch(tmp_path, monkeypatch, caplog):
+    monkeypatch.setattr("ochrespan.programs.settings.RELOAD_INTERVAL_S", 0.01)
+    path = tmp_path / "node.yaml"
+    path.write_text(yaml.safe_dump(GOOD))
+    applied = []
+
+    def apply(settings):
+        applied.append(settings["zone"])
+        if settings["zone"] == "first":
+            raise KeyError("a fault of the program")
+
+    watch = gevent.spawn(SettingsFile(path, apply).watch)
+    try:
+        for zone in ("first", "second, later"):
+            path.write_text(yaml.safe_dump({**GOOD, "zone": zone}))
+            with gevent.Timeout(5):
+                while zone not in applied:
+                    gevent.sleep(0.01)
+    finally:
+        watch.kill()
+    assert "settings change failed, continuing" in caplog.text and "a fault of the program" in caplog.text
+
+
 def test_the_log_level_changes_on_reload_and_an_unknown_one_is_reported(tmp_path):
     path = tmp_path / "node.yaml"
     path.write_text(yaml.safe_dump(GOOD))
